--- /dev/null
+++ b/sedgepitch/wirehost.py
@@ -0,0 +1,334 @@
+"""Speak the wire on standard input and output for many routers; decide nothing.
+
+Run as ``python -m sedgepitch.wirehost``. One line holds a batch of events, one line answers it. Unknown
+events, fields and settings are skipped; a line that cannot be understood ends the run with a message.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from collections.abc import Callable
+from typing import Any, TextIO
+
+from sedgepitch import interface as api
+from sedgepitch.policy import Router
+
+Wire = dict[str, Any]
+
+FRESHNESS = {
+    "mutate": api.Freshness.WRITE,
+    "strong": api.Freshness.FRESH,
+    "causal": api.Freshness.SESSION,
+    "lag_bound": api.Freshness.BOUNDED,
+    "eventual": api.Freshness.ANY,
+}
+EFFECT = {
+    "idempotent": api.Effect.SAFE,
+    "deduplicated": api.Effect.KEYED,
+    "at_most_once": api.Effect.UNSAFE,
+}
+STATE = {"U": api.State.UP, "L": api.State.DRAINING, "D": api.State.GONE}
+RESULT = {
+    "delivered": api.Result.OK,
+    "app_error": api.Result.ERROR,
+    "shed": api.Result.FULL,
+    "expired": api.Result.TIMEOUT,
+    "dial_failed": api.Result.CONNECT_FAILED,
+    "dropped": api.Result.RESET,
+    "revoked": api.Result.CANCELLED,
+    "unused": api.Result.NOT_SENT,
+    "empty": api.Result.MISS,
+}
+CHECKS = {"silent": api.Checks.NONE, "bounce": api.Checks.BOUNCE, "await": api.Checks.AWAIT}
+MARKS = {"brought": api.Marks.CARRIED, "kept": api.Marks.REMEMBERED}
+
+
+class WireError(Exception):
+    """The input breaks the protocol; the text says where."""
+
+
+def take(source: Wire, name: str, kind: type | tuple[type, ...], where: str) -> Any:
+    """Return a required field, or say plainly what is wrong with it."""
+    if name not in source:
+        raise WireError(f"{where}: field '{name}' is missing")
+    value = source[name]
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise WireError(f"{where}: field '{name}' has the wrong type")
+    return value
+
+
+NUMBER = (int, float)
+
+
+def translate_class(raw: Wire, freshness: str, max_age: float) -> api.RequestClass:
+    """Turn one stated class into the policy's type."""
+    where = "setup.classes"
+    effect, scope = take(raw, "effect", str, where), str(raw.get("keyScope", "cell"))
+    if effect not in EFFECT:
+        raise WireError(f"{where}: field 'effect' has an unknown value")
+    if freshness not in FRESHNESS:
+        raise WireError("setup.specifics: field 'freshness' has an unknown value")
+    return api.RequestClass(
+        name=take(raw, "name", str, where),
+        aim=take(raw, "objectiveS", NUMBER, where),
+        deadline=take(raw, "deadlineS", NUMBER, where),
+        worth=raw.get("importance", 1.0),
+        late_worth=raw.get("lateWorth", 0.0),
+        effect=EFFECT[effect],
+        scope=api.Scope(scope) if scope in ("all", "zone", "cell") else api.Scope.CELL,
+        window=raw.get("windowS", 0.0),
+        freshness=FRESHNESS[freshness],
+        max_age=max_age,
+    )
+
+
+def translate_settings(raw: Wire) -> api.Settings:
+    """Turn the set-up message into the policy's settings."""
+    specifics, limits = raw.get("specifics", {}), raw.get("limits", {})
+    rules, stats = raw.get("rules", {}), raw.get("stats", {})
+    classes = take(raw, "classes", list, "setup")
+    kinds = specifics.get("freshness", ["mutate"] * len(classes))
+    ages = specifics.get("maxAgeS", [0.0] * len(classes))
+    if len(kinds) != len(classes) or len(ages) != len(classes):
+        raise WireError("setup.specifics: 'freshness' and 'maxAgeS' must match the classes")
+    return api.Settings(
+        classes=tuple(translate_class(c, k, a) for c, k, a in zip(classes, kinds, ages, strict=True)),
+        zone=str(raw.get("az", "")),
+        tick=raw.get("tickS", 0.001),
+        drivers=raw.get("groupSize", 1),
+        rules=api.Rules(
+            answer_slack=rules.get("answerSlackS", 0.0),
+            drain_grace=rules.get("drainGraceS", 0.0),
+            overload_factor=rules.get("overloadFactor", 1.0),
+            overload_time=rules.get("fallS", 1.0),
+            start_capacity=rules.get("startCapacity", 1.0),
+            warm_within=rules.get("warmWithinS", 0.0),
+            ask_within=rules.get("askWithinS", 0.0),
+            removal_not_binding=bool(rules.get("removalNotBinding", False)),
+        ),
+        checks=CHECKS.get(specifics.get("behind"), api.Checks.NONE),
+        marks=MARKS.get(specifics.get("sessionMarks"), api.Marks.CARRIED),
+        patience=specifics.get("patienceS", 0.0),
+        subscribe=raw.get("registryMode") == "subscribe",
+        probes=bool(limits.get("probes", False)),
+        reports_in_answers=stats.get("how") == "piggyback",
+        reports_position=stats.get("how") != "silent" and "x0" in stats.get("fields", ()),
+        list_names_primary=specifics.get("roleInList", "silent") != "silent",
+        most_attempts=limits.get("mostTries", 1),
+        second_copies=bool(limits.get("secondCopies", False)),
+        cancel=bool(limits.get("cancel", False)),
+        come_back=bool(limits.get("retryAfter", False)),
+        max_come_back=limits.get("maxRetryAfterS", 0.0),
+        quotas={t["name"]: t["quotaPerS"] for t in raw.get("tenants", ()) if "quotaPerS" in t},
+        over_quota_worth=raw.get("overShareWorth", 1.0),
+    )
+
+
+def translate_entry(raw: Wire) -> api.Listing:
+    """Turn one line of a member list into the policy's type."""
+    where = "manifest.lines"
+    state = take(raw, "state", str, where)
+    if state not in STATE:
+        raise WireError(f"{where}: field 'state' has an unknown value")
+    return api.Listing(
+        member=take(raw, "member", int, where),
+        group=raw.get("cluster", 0),
+        state=STATE[state],
+        zone=str(raw.get("locality", "")),
+        primary=bool(raw.get("leader", 0)),
+        size=raw.get("powerHint", 1.0) or 1.0,
+        started=raw.get("cameUpS", 0.0) or 0.0,
+    )
+
+
+class Instance:
+    """One router, its name on the wire, and the zero that its positions count from."""
+
+    __slots__ = ("name", "router", "zero")
+
+    def __init__(self, name: str, event: Wire) -> None:
+        setup = take(event, "setup", dict, "hello")
+        self.name = name
+        self.zero = setup.get("specifics", {}).get("countedFromS", 0.0)
+        try:
+            self.router = Router(translate_settings(setup), take(event, "entropy", int, "hello"))
+        except ValueError as error:
+            raise WireError(f"hello: {error}") from None
+        except (TypeError, AttributeError, KeyError):
+            raise WireError("hello: field 'setup' holds a value of the wrong type") from None
+
+    def report(self, raw: Wire | None) -> api.Report | None:
+        """Turn a load report into the policy's type."""
+        if not isinstance(raw, dict) or not raw:
+            return None
+        position, primary = raw.get("x0"), raw.get("x1")
+        return api.Report(
+            position=None if position is None else self.zero + position,
+            primary=None if primary is None else primary >= 0.5,
+        )
+
+
+def on_query(_: Instance, event: Wire) -> api.Event:
+    """Translate a client's request."""
+    return api.Arrived(
+        request=take(event, "job", int, "query"),
+        class_name=take(event, "qos", str, "query"),
+        group=event.get("shard", 0),
+        time_left=take(event, "ttlS", NUMBER, "query"),
+        session=str(event.get("sess", "")),
+        session_age=event.get("tokenAgeMs", 0.0) / 1000.0,
+        tenant=str(event.get("tenant", "")),
+    )
+
+
+def on_finished(instance: Instance, event: Wire) -> api.Event:
+    """Translate the end of an attempt; a note carries role and position."""
+    stamp = event.get("stamp", 0)
+    role, millis = stamp % 4, stamp // 4
+    return api.Finished(
+        request=take(event, "job", int, "finished"),
+        attempt=take(event, "hop", int, "finished"),
+        member=take(event, "member", int, "finished"),
+        result=RESULT.get(take(event, "outcome", str, "finished"), api.Result.ERROR),
+        elapsed=event.get("durationS", 0.0),
+        final=bool(event.get("doneFlag", False)),
+        primary={1: True, 2: False}.get(role),
+        position=instance.zero + millis / 1000.0 if millis else None,
+        report=instance.report(event.get("feedback")),
+    )
+
+
+def on_status(instance: Instance, event: Wire) -> api.Event:
+    """Translate what a probe found."""
+    return api.Probed(
+        member=take(event, "member", int, "statusBack"),
+        result=RESULT.get(take(event, "outcome", str, "statusBack"), api.Result.ERROR),
+        elapsed=event.get("durationS", 0.0),
+        report=instance.report(event.get("feedback")),
+    )
+
+
+EVENTS: dict[str, Callable[[Instance, Wire], api.Event]] = {
+    "query": on_query,
+    "finished": on_finished,
+    "statusBack": on_status,
+    "tickDue": lambda _, e: api.Timer(take(e, "nonce", int, "tickDue")),
+    "left": lambda _, e: api.ClientGone(take(e, "job", int, "left")),
+}
+
+
+def to_wire(name: str, action: api.Action) -> Wire:
+    """Turn one action into its wire form."""
+    match action:
+        case api.Send(request, member, timeout):
+            return {"type": "attempt", "driver": name, "job": request, "member": member, "maxWaitS": timeout}
+        case api.Refuse(request, come_back):
+            return {"type": "refuse", "driver": name, "job": request, "holdOffS": come_back}
+        case api.Fail(request):
+            return {"type": "dropRequest", "driver": name, "job": request}
+        case api.Cancel(request, attempt):
+            return {"type": "recall", "driver": name, "job": request, "hop": attempt}
+        case api.Probe(member):
+            return {"type": "probe", "driver": name, "member": member}
+        case api.Subscribe():
+            return {"type": "keepInformed", "driver": name, "active": True}
+        case api.SetTimer(after, nonce):
+            return {"type": "remind", "driver": name, "afterS": after, "nonce": nonce}
+        case api.Log(text):
+            return {"type": "noteDown", "driver": name, "what": text}
+    raise AssertionError(f"no wire form for {action!r}")
+
+
+class Host:
+    """The routers of this process and the member lists that the wire numbers."""
+
+    def __init__(self) -> None:
+        self.instances: dict[str, Instance] = {}
+        self.known: set[str] = set()
+        self.rosters: dict[int, tuple[api.Listing, ...]] = {}
+
+    def answer(self, line: str) -> str:
+        """Answer one batch."""
+        try:
+            batch = json.loads(line)
+        except ValueError:
+            raise WireError("the line is not JSON") from None
+        if not isinstance(batch, dict):
+            raise WireError("the line is not a JSON object")
+        now = take(batch, "wallS", NUMBER, "batch")
+        items = take(batch, "items", list, "batch")
+        events: dict[str, list[api.Event]] = {}
+        for item in items:
+            if not isinstance(item, dict):
+                raise WireError("items: an event is not an object")
+            self.sort(item, events)
+        cmds = [
+            to_wire(name, action)
+            for name, batch_events in events.items()
+            for action in self.instances[name].router.handle(now, batch_events)
+        ]
+        return json.dumps({"batch": take(batch, "batch", int, "batch"), "cmds": cmds}, separators=(",", ":"))
+
+    def sort(self, item: Wire, events: dict[str, list[api.Event]]) -> None:
+        """Put one wire event with the instance it is for."""
+        kind = take(item, "type", str, "items")
+        if kind == "manifest":
+            lines = take(item, "lines", list, "manifest")
+            self.rosters[take(item, "rosterId", int, "manifest")] = tuple(translate_entry(e) for e in lines)
+            return
+        if kind not in EVENTS and kind not in ("hello", "sync", "killed"):
+            return
+        name = take(item, "driver", str, kind)
+        if kind == "hello":
+            self.instances[name] = Instance(name, item)
+            self.known.add(name)
+            events[name] = []
+            return
+        if kind == "killed":
+            self.instances.pop(name, None)
+            events.pop(name, None)
+            return
+        instance = self.instances.get(name)
+        if instance is None:
+            if name in self.known:
+                return
+            raise WireError(f"{kind}: unknown instance '{name}'")
+        events.setdefault(name, []).append(
+            self.sync(item) if kind == "sync" else EVENTS[kind](instance, item)
+        )
+
+    def sync(self, item: Wire) -> api.Event:
+        """Translate a report of the member list."""
+        how = take(item, "how", str, "sync")
+        if how == "Error":
+            return api.ListFailed()
+        number = take(item, "rosterId", int, "sync")
+        if number not in self.rosters:
+            raise WireError(f"sync: no manifest has the number {number}")
+        return api.Members(self.rosters[number], complete=how != "Partial", remembered=how == "Persisted")
+
+
+def serve(source: TextIO, sink: TextIO) -> None:
+    """Answer batches until the input ends."""
+    host = Host()
+    for line in source:
+        if line.strip():
+            sink.write(host.answer(line) + "\n")
+            sink.flush()
+
+
+def main() -> int:
+    """Serve standard input; a broken line ends the run with one line on standard error."""
+    try:
+        serve(sys.stdin, sys.stdout)
+    except (WireError, UnicodeDecodeError) as error:
+        print(f"sedgepitch: {error}", file=sys.stderr)
+        return 2
+    except (BrokenPipeError, KeyboardInterrupt):
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
