Let the in-flight limit shrink in proportion, down to one

Cause: with many drivers a floor of three requests in flight each, and a limit whose growth did not shrink with it, swamped members.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -29,9 +29,9 @@
 REST = (0.5, 4.0)  # s that a suspected member rests: at first, and at most; doubles with each failed trial
 TRIALS = 3  # good trials in a row that bring back a member that was failing
 # Load.
-LIMIT = (3.0, 24.0)  # own requests in flight a member may have: at least, and to begin with
+LIMIT = (1.0, 48.0)  # own requests in flight a member may have: at least; to begin with, all drivers together
 LATE = 0.8  # share of its aim beyond which an answer says that the member is too busy
-BACK_OFF = 0.9  # a late answer takes the limit to this share of what is in flight
+BACK_OFF, GROW = 0.88, 0.015  # a late answer cuts the limit to this share; one in time lets it grow by this
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
 WAIT = 0.3  # share of its aim that a read may wait for room before it is refused
 HEDGE = 0.5  # share of its aim after which an unanswered safe read gets a second copy
@@ -46,7 +46,7 @@
 class Member:
     """What this driver knows of one member, from its own traffic, reports and the list."""
 
-    def __init__(self, listing: api.Listing) -> None:
+    def __init__(self, listing: api.Listing, start_limit: float) -> None:
         self.id, self.group, self.zone = listing.member, listing.group, listing.zone
         self.size, self.state, self.started = listing.size, listing.state, listing.started
         self.listed_primary = False
@@ -62,7 +62,7 @@
         self.rest = REST[0]
         self.trial: tuple[int, int] | None = None
         self.good_trials = 0
-        self.limit, self.limit_at = LIMIT[1], -NEVER
+        self.limit, self.limit_at = start_limit, -NEVER
         self.cold_from = -NEVER
         self.allowance, self.allowance_at = 1.0, 0.0
         self.sent, self.rate = 0, 0.0
@@ -79,7 +79,6 @@
         """Take it back. One that was down a while may have restarted: it counts as cold."""
         if self.suspect == "down" and now - self.suspect_since > REST[0]:
             self.cold_from = max(self.cold_from, now)
-            self.limit = LIMIT[1]
         self.suspect, self.failing, self.trial, self.rest = "", 0.0, None, REST[0]
 
 
@@ -156,6 +155,7 @@
         self.classes = {c.name: c for c in settings.classes}
         self.work = {c.name: c.aim * 0.2 for c in settings.classes}
         self.groups: dict[int, Group] = {}
+        self.start_limit = max(LIMIT[0] * 2.0, LIMIT[1] / max(1, settings.drivers))
         self.members: dict[int, Member] = {}
         self.requests: dict[int, Request] = {}
         self.due: list[tuple[float, int]] = []
@@ -223,7 +223,7 @@
         """Apply one entry: state, start and role. The role is late, so answers outrank it."""
         member = self.members.get(listing.member)
         if member is None:
-            member = self.members[listing.member] = Member(listing)
+            member = self.members[listing.member] = Member(listing, self.start_limit)
             self.groups.setdefault(listing.group, Group()).members[listing.member] = member
             member.cold_from = listing.started if listing.started > 0 else -NEVER
         elif listing.started > member.started:
@@ -298,7 +298,7 @@
             member.limit = max(LIMIT[0], min(member.limit, len(member.out) + 1.0) * BACK_OFF)
             member.limit_at = now
         elif not late and len(member.out) + 1 > member.limit / 2:
-            member.limit += 1.0 / member.limit
+            member.limit += GROW * member.limit
         if result is Result.FULL:
             return
         if cls.freshness in (Freshness.BOUNDED, Freshness.ANY):
