--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,258 @@
+"""Each binding rule at its edges."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from sedgepitch import interface as api
+from sedgepitch.interface import Checks, Marks, Result, State
+from tests.helpers import SETTINGS, Rig, finals, listing, sends
+
+# Rule 1: one final answer, in time
+
+
+def test_deadline_with_an_attempt_out_is_answered_at_once():
+    rig = Rig()
+    request, actions = rig.ask("write", ttl=0.5)
+    assert sends(actions) == [1]
+    rig.run(0.5)
+    assert finals(rig.log, request) == []
+    assert finals(rig.end(request, 0, 1, Result.TIMEOUT), request) == [api.Fail(request)]
+
+
+def test_held_request_is_answered_before_its_deadline():
+    rig = Rig(members=(listing(2, state=State.DRAINING),))
+    request, actions = rig.ask("write", ttl=0.5)
+    assert sends(actions) == []
+    actions = rig.run(0.5)
+    assert len(finals(actions, request)) == 1
+
+
+def test_client_with_less_time_than_a_beat_is_answered_on_arrival():
+    rig = Rig(members=(listing(2, state=State.DRAINING),))
+    request, actions = rig.ask("bounded", ttl=0.004)
+    assert len(finals(actions, request)) == 1
+
+
+def test_nothing_follows_a_final_answer():
+    rig = Rig()
+    request, _ = rig.ask("any")
+    member = sends(rig.log, request)[0]
+    rig.feed(api.ClientGone(request))
+    actions = rig.end(request, 0, member, Result.ERROR, final=True) + rig.run(2.0)
+    assert sends(actions, request) == [] and finals(actions, request) == []
+
+
+# Rule 2: no effect twice
+
+
+@pytest.mark.parametrize("result", [Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT, Result.MISS])
+def test_unsafe_request_may_be_refused_when_it_never_ran(result):
+    rig = Rig()
+    request, _ = rig.ask("unsafe", ttl=1.5)
+    rig.feed(api.Members(tuple(listing(m, state=State.DRAINING) for m in (1, 2, 3)), complete=True))
+    rig.end(request, 0, 1, result)
+    rig.run(1.5)
+    answers = finals(rig.log, request)
+    assert answers and isinstance(answers[0], api.Refuse)
+
+
+@pytest.mark.parametrize("result", [Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED])
+def test_unsafe_request_that_may_have_run_fails_and_is_not_sent_again(result):
+    rig = Rig()
+    request, _ = rig.ask("unsafe", ttl=1.5)
+    rig.end(request, 0, 1, result)
+    rig.run(1.6)
+    assert sends(rig.log, request) == [1]
+    assert [type(a) for a in finals(rig.log, request)] == [api.Fail]
+
+
+def test_keyed_request_is_repeated_within_its_window_only():
+    for wait, again in ((0.9, [1, 1]), (1.05, [1])):
+        rig = Rig()
+        request, _ = rig.ask("write", ttl=1.9)
+        rig.run(wait)
+        rig.end(request, 0, 1, Result.ERROR)
+        assert sends(rig.log, request) == again
+        rig.run(1.5)
+        if again == [1]:
+            assert finals(rig.log, request) == [api.Fail(request)]
+
+
+def test_keyed_request_that_may_have_run_is_refused_only_where_every_member_drops_repeats():
+    for name, kind in (("write", api.Fail), ("wide", api.Refuse)):
+        rig = Rig()
+        request, _ = rig.ask(name, ttl=0.5)
+        rig.run(0.5)
+        assert [type(a) for a in finals(rig.end(request, 0, 1, Result.TIMEOUT), request)] == [kind]
+
+
+def test_keyed_request_scoped_to_a_zone_stays_in_it():
+    classes = tuple(replace(c, scope=api.Scope.ZONE) if c.name == "write" else c for c in SETTINGS.classes)
+    members = (listing(1, primary=True), listing(2, zone="b"), listing(3, zone="b"))
+    rig = Rig(replace(SETTINGS, classes=classes), members)
+    request, _ = rig.ask("write", ttl=0.9)
+    rig.heard(2, 0.0, primary=True)
+    rig.end(request, 0, 1, Result.RESET)
+    rig.run(1.0)
+    assert sends(rig.log, request) == [1]
+    assert len(finals(rig.log, request)) == 1
+
+
+def test_no_second_copy_where_the_site_forbids_it():
+    rig = Rig(replace(SETTINGS, second_copies=False))
+    request, _ = rig.ask("any", ttl=0.9)
+    rig.run(0.8)
+    assert len(sends(rig.log, request)) == 1
+
+
+# Rule 3: drains
+
+
+@pytest.mark.parametrize("state", [State.DRAINING, State.GONE])
+def test_nothing_new_goes_to_a_member_told_draining_or_gone(state):
+    rig = Rig()
+    rig.feed(api.Members((listing(2, state=state),), complete=False))
+    for _ in range(60):
+        rig.ask("any")
+        rig.run(0.02)
+    assert 2 not in sends(rig.log)
+
+
+def test_a_complete_list_that_omits_a_member_removes_it():
+    rig = Rig()
+    rig.feed(api.Members((listing(1, primary=True), listing(3)), complete=True))
+    for _ in range(40):
+        rig.ask("any")
+        rig.run(0.02)
+    assert 2 not in sends(rig.log)
+
+
+def test_where_removal_does_not_bind_only_a_drain_does():
+    settings = replace(SETTINGS, rules=replace(SETTINGS.rules, removal_not_binding=True))
+    for first, used in ((None, True), (State.DRAINING, False)):
+        rig = Rig(settings)
+        if first:
+            rig.feed(api.Members((listing(2, state=first),), complete=False))
+        rig.feed(api.Members((listing(1, primary=True), listing(3)), complete=True))
+        for _ in range(40):
+            rig.ask("any")
+        assert (2 in sends(rig.log)) is used
+
+
+# Rule 4: cold members
+
+
+def steady(rig: Rig, seconds: float, rate: int = 100) -> None:
+    """Answered reads and writes at an even rate."""
+    for _ in range(int(seconds * rate)):
+        request, actions = rig.ask("write" if rig.ids % 5 == 0 else "any")
+        for member in sends(actions, request):
+            rig.end(request, 0, member, Result.OK, primary=member == 1)
+        rig.run(1.0 / rate)
+
+
+def share_in(rig: Rig, member: int, seconds: float) -> float:
+    """The share of the sends of the next seconds that one member gets."""
+    start = len(rig.log)
+    steady(rig, seconds)
+    got = sends(rig.log[start:])
+    return got.count(member) / len(got)
+
+
+def test_a_cold_member_is_ramped_against_its_warm_peers():
+    rig = Rig()
+    steady(rig, 5.0)
+    rig.feed(api.Members((listing(3, started=rig.now),), complete=False))
+    first = share_in(rig, 3, 1.0)
+    rig.run(0.0)
+    steady(rig, 12.0)
+    assert 0 < first < 0.15 < share_in(rig, 3, 2.0)
+
+
+def test_a_cold_member_without_warm_peers_gets_no_burst():
+    started = tuple(listing(m, started=99.9) for m in (1, 2, 3))
+    rig = Rig(members=started)
+    for _ in range(200):
+        rig.ask("any", ttl=0.3)
+    assert len(sends(rig.log)) <= 3
+
+
+def test_a_cold_new_primary_is_ramped_against_the_old_one():
+    rig = Rig()
+    steady(rig, 5.0)
+    rig.feed(api.Members((listing(1, state=State.GONE), listing(2, started=rig.now)), complete=False))
+    rig.heard(2, 0.0, primary=True)
+    start = len(rig.log)
+    for _ in range(300):
+        rig.ask("write", ttl=1.0)
+        rig.run(0.001)
+    assert 0 < sends(rig.log[start:]).count(2) < 20
+
+
+# Rule 5: no stale read
+
+
+def test_bounded_read_uses_a_position_up_to_its_bound():
+    for age, allowed in ((0.498, {2, 3}), (0.5001, {1})):
+        rig = Rig()
+        for _ in range(30):
+            rig.heard(2, age)
+            rig.heard(3, age)
+            request, actions = rig.ask("bounded")
+            assert set(sends(actions, request)) <= allowed | {1}
+        assert set(sends(rig.log)) & allowed
+
+
+def test_position_neither_regresses_nor_runs_ahead_of_now():
+    rig = Rig()
+    rig.heard(2, 0.1)
+    rig.heard(2, 0.9)
+    rig.heard(3, -5.0)
+    for _ in range(20):
+        rig.ask("bounded")
+    assert 2 in sends(rig.log) and 3 not in sends(rig.log)
+
+
+def test_session_read_carried_needs_its_write():
+    rig = Rig()
+    rig.heard(2, 0.2)
+    for age, member in ((0.3, 2), (0.1, 1), (0.2, 1)):
+        request, actions = rig.ask("session", session_age=age)
+        assert sends(actions, request) == [member]
+        rig.end(request, 0, member, Result.OK, primary=member == 1)
+
+
+def test_session_read_remembered_needs_the_writes_seen_here():
+    rig = Rig(replace(SETTINGS, marks=Marks.REMEMBERED))
+    request, _ = rig.ask("write", session="s")
+    rig.end(request, 0, 1, Result.OK, primary=True, position=rig.now)
+    read, actions = rig.ask("session", session="s")
+    assert sends(actions, read) == [1]
+    rig.run(0.1)
+    rig.heard(2, 0.0)
+    read, actions = rig.ask("session", session="s")
+    assert sends(actions, read) == [2]
+    read, actions = rig.ask("session", session="other")
+    assert set(sends(actions, read)) <= {2, 3}
+
+
+def test_a_former_primary_serves_fresh_reads_until_an_answer_tells():
+    rig = Rig()
+    request, actions = rig.ask("fresh")
+    assert sends(actions) == [1]
+    rig.end(request, 0, 1, Result.OK, primary=False)
+    request, actions = rig.ask("fresh")
+    assert sends(actions, request) == []
+
+
+@pytest.mark.parametrize("checks", [Checks.BOUNCE, Checks.AWAIT])
+def test_where_members_check_the_most_advanced_is_tried(checks):
+    rig = Rig(replace(SETTINGS, checks=checks))
+    rig.heard(2, 2.0)
+    rig.heard(3, 0.9)
+    request, actions = rig.ask("session", session_age=0.1)
+    assert sends(actions, request) == [3]
+    assert sends(rig.end(request, 0, 3, Result.MISS, primary=False), request) == [2]
