--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -37,6 +37,7 @@
 HEDGE = 0.5  # share of its aim after which an unanswered safe read gets a second copy
 COLD_BURST = 0.25  # s of its allowance that a cold member may be sent at once
 BUDGET = (0.15, 10.0)  # resends and second copies: earned by each request, and kept at most
+PROBE_BUDGET = 0.4  # probes that each read in need of a position earns its group; one a member is kept
 BEATS = 20.0  # looks at the clock within the shortest aim
 NEVER = float("inf")
 
@@ -96,6 +97,7 @@
         self.scout_at = -NEVER
         self.scout: int | None = None
         self.needs_position = -NEVER
+        self.probes = 2.0
         self.sessions: dict[str, float] = {}
         self.session_floor = -NEVER
 
@@ -168,9 +170,8 @@
         self.budget = BUDGET[1]
         self.subscribe_at = -NEVER if settings.subscribe else NEVER
         self.subscribe_pause = REST[0]
-        self.bound = min(
-            (c.max_age for c in settings.classes if c.freshness is Freshness.BOUNDED), default=0.0
-        )
+        bounds = [c.max_age for c in settings.classes if c.freshness is Freshness.BOUNDED]
+        self.bound = min(bounds, default=min(c.aim for c in settings.classes))
 
     def handle(self, now: float, events: Iterable[api.Event]) -> list[api.Action]:
         """Take the events of one moment, in order, and return what to do about them."""
@@ -275,6 +276,8 @@
             else:
                 group.told_role(member, event.primary, now)
         self.on_report(member, event.report)
+        if event.primary is False:
+            self.on_report(member, api.Report(event.position))
         answered = result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS)
         if answered:
             member.last_answer = now
@@ -429,6 +432,7 @@
                 request.need = group.sessions.get(event.session, group.session_floor)
         if cls.freshness in (Freshness.SESSION, Freshness.BOUNDED):
             group.needs_position = self.now
+            group.probes = min(group.probes + PROBE_BUDGET, float(len(group.members)))
         best = max(c.worth / self.work[c.name] for c in self.settings.classes)
         request.worthy = LEAST_WORTHY + (1.0 - LEAST_WORTHY) * cls.worth / self.work[cls.name] / best
         if cls.effect is Effect.SAFE:
@@ -654,7 +658,8 @@
         now, typical = self.now, max(group.typical, self.settings.tick)
         lost = group.primary is None or group.primary.suspect
         wanted = now - group.needs_position < 1.0
-        for member in group.members.values():
+        nearest = sorted(group.members.values(), key=lambda m: (m.zone != self.settings.zone, -m.position))
+        for member in nearest:
             if member.out and not member.suspect:
                 since = max(member.last_answer, next(iter(member.out.values())))
                 if (now - since) * len(member.out) > SILENCE * typical and now - since > 2.0 * typical:
@@ -673,7 +678,8 @@
             if lost and self.settings.reports_position and now - member.probed_at >= REST[0] / 2:
                 self.probe(member)
             elif wanted and member is not group.primary and behind > self.bound * (1.0 - PROBE_LEAD):
-                if self.bound and self.settings.reports_position and now - member.probed_at >= gap:
+                if group.probes >= 1.0 and self.settings.reports_position and now - member.probed_at >= gap:
+                    group.probes -= 1.0
                     self.probe(member)
 
     def probe(self, member: Member) -> None:
