--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -599,11 +599,10 @@
         self.close(request)
 
     def come_back(self, request: Request) -> float:
-        """When a refused client may try again: soon for want of room, late for want of a primary."""
+        """When a refused client may try again: after the crowd it was refused for has had its time."""
         if not self.settings.come_back:
             return 0.0
-        wait = REST[0] if request.group.primary is None else request.cls.aim
-        return min(self.settings.max_come_back, wait * (1.0 + self.random.random()))
+        return min(self.settings.max_come_back, request.cls.deadline * (0.5 + self.random.random()))
 
     def close(self, request: Request) -> None:
         """Nothing more is owed or sent for this request."""
