--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -31,7 +31,7 @@
 # Load.
 LIMIT = (1.0, 48.0)  # own requests in flight a member may have: at least; to begin with, all drivers together
 LATE = 0.8  # share of its aim beyond which an answer says that the member is too busy
-BACK_OFF, GROW = 0.88, 0.015  # a late answer cuts the limit to this share; one in time lets it grow by this
+BACK_OFF, GROW = 0.88, 0.008  # a late answer cuts the limit to this share; one in time lets it grow by this
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
 WAIT = 0.3  # share of its aim that a read may wait for room before it is refused
 HEDGE = 0.5  # share of its aim after which an unanswered safe read gets a second copy
