--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -31,6 +31,7 @@
 # Load.
 LIMIT = (1.0, 48.0)  # own requests in flight a member may have: at least; to begin with, all drivers together
 LATE = 0.8  # share of its aim beyond which an answer says that the member is too busy
+SPEED_UP = (5.0, 25.0)  # growth is up to this much faster, one more for each so many answers in time on end
 BACK_OFF, GROW = 0.88, 0.008  # a late answer cuts the limit to this share; one in time lets it grow by this
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
 WAIT = 0.3  # share of its aim that a read may wait for room before it is refused
@@ -64,6 +65,7 @@
         self.trial: tuple[int, int] | None = None
         self.good_trials = 0
         self.limit, self.limit_at = start_limit, -NEVER
+        self.in_time = 0
         self.cold_from = -NEVER
         self.allowance, self.allowance_at = 1.0, 0.0
         self.sent, self.rate = 0, 0.0
@@ -297,11 +299,12 @@
         if cls is None or result not in (Result.OK, Result.TIMEOUT, Result.FULL):
             return
         late = result is not Result.OK or event.elapsed > LATE * cls.aim
+        member.in_time = 0 if late else member.in_time + 1
         if late and now - member.limit_at > self.work[cls.name]:
             member.limit = max(LIMIT[0], min(member.limit, len(member.out) + 1.0) * BACK_OFF)
             member.limit_at = now
         elif not late and len(member.out) + 1 > member.limit / 2:
-            member.limit += GROW * member.limit
+            member.limit += GROW * member.limit * min(SPEED_UP[0], 1.0 + member.in_time / SPEED_UP[1])
         if result is Result.FULL:
             return
         if cls.freshness in (Freshness.BOUNDED, Freshness.ANY):
