--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -17,8 +17,7 @@
 # The mechanism (paper: Huang et al.; "ours" where the paper or the design page leaves it open).
 PERIOD = 5.0  # s between comparisons of the two sides; ours, the paper has 60
 THRESHOLD = 0.5  # a side must answer in under this share of the other's median; paper's Decision Threshold
-EXPLORE = 0.02  # share of open reads that try the other side; paper's Exploration Fraction is 0.10
-EXPLORER_ROOM = 0.6  # share of the room of a member that exploration may use: it must not crowd a primary
+EXPLORE = 0.04  # share of open reads that try the other side; paper's Exploration Fraction is 0.10
 LEAST_SAMPLE = 5  # answers a side needs in a period to be compared; ours, one fast answer proves nothing
 # Freshness.
 POSITION_SLACK = 0.001  # s; positions are told in whole milliseconds, and a clock may differ by one
@@ -472,13 +471,13 @@
         share = request.worthy
         on_replicas = group.side_replicas or cls.freshness is Freshness.SESSION
         if cls.freshness is not Freshness.SESSION and self.random.random() < EXPLORE:
-            on_replicas, share = not on_replicas, share * EXPLORER_ROOM
+            on_replicas = not on_replicas
         main = primary if primary is not None and primary not in request.attempts else None
         if not on_replicas and main is not None and self.may_send(main, share * LEAST_WORTHY):
             return main
         if (member := self.pick(request)) is not None:
             return member
-        if main is not None and self.may_send(main, request.worthy):
+        if main is not None and self.may_send(main, share):
             return main
         return None
 
