--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -531,7 +531,8 @@
         if member.suspect:
             member.trial = key
             member.rest_until = self.now + member.rest
-        self.actions.append(api.Send(request.id, member.id, 0.0))
+        timeout = 0.0 if request.cls.late_worth > 0 else max(self.beat, request.arrived + request.cls.aim - self.now)
+        self.actions.append(api.Send(request.id, member.id, timeout))
 
     def may_resend(self, request: Request, member: Member) -> bool:
         """Rules 1 and 2 for a further attempt at this member."""
