--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -531,8 +531,7 @@
         if member.suspect:
             member.trial = key
             member.rest_until = self.now + member.rest
-        timeout = 0.0 if request.cls.late_worth > 0 else max(self.beat, request.arrived + request.cls.aim - self.now)
-        self.actions.append(api.Send(request.id, member.id, timeout))
+        self.actions.append(api.Send(request.id, member.id, 0.0))
 
     def may_resend(self, request: Request, member: Member) -> bool:
         """Rules 1 and 2 for a further attempt at this member."""
