--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -36,6 +36,7 @@
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
 WAIT = 0.3  # share of its aim that a read may wait for room before it is refused
 HEDGE = 0.5  # share of its aim after which an unanswered safe read gets a second copy
+HEDGE_ROOM = 0.4  # share of a member's room that second copies may use: they must not feed an overload
 COLD_BURST = 0.25  # s of its allowance that a cold member may be sent at once
 BUDGET = (0.15, 10.0)  # resends and second copies: earned by each request, and kept at most
 PROBE_BUDGET = 0.4  # probes that each read in need of a position earns its group; one a member is kept
@@ -481,14 +482,14 @@
             return main
         return None
 
-    def pick(self, request: Request) -> Member | None:
+    def pick(self, request: Request, room: float = 1.0) -> Member | None:
         """Two-choice among the replicas that qualify, by own requests in flight for their size."""
         group, cls = request.group, request.cls
         able, qualified = [], []
         for member in group.members.values():
             if member is group.primary or member in request.attempts:
                 continue
-            if self.may_send(member, request.worthy):
+            if self.may_send(member, request.worthy * room):
                 able.append(member)
                 if self.fresh_enough(member, request):
                     if member.suspect and cls.effect is Effect.SAFE:
@@ -695,7 +696,7 @@
             return
         if self.budget < BUDGET[1] / 3 or request.done:
             return
-        member = self.pick(request)
+        member = self.pick(request, HEDGE_ROOM)
         if member is not None and not member.suspect and self.may_resend(request, member):
             request.hedged = True
             self.budget -= 1.0
