Remove timed second copies; fold placing and the next step

Copies are still sent for reads at a member found silent. Also: a probe that keeps failing no longer keeps a member out alone; a refused connection while other work is out counts as a full table.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import heapq
 import random
 from collections.abc import Iterable
 from statistics import median
@@ -35,7 +34,6 @@
 BACK_OFF, GROW = 0.88, 0.008  # a late answer cuts the limit to this share; one in time lets it grow by this
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
 WAIT = 0.3  # share of its aim that a read may wait for room before it is refused
-HEDGE = 0.75  # share of its aim after which an unanswered safe read gets a second copy
 HEDGE_ROOM = 0.4  # share of a member's room that second copies may use: they must not feed an overload
 COLD_BURST = 0.25  # s of its allowance that a cold member may be sent at once
 BUDGET = (0.15, 10.0)  # resends and second copies: earned by each request, and kept at most
@@ -55,7 +53,6 @@
         self.listed_primary = False
         self.told_draining = False
         self.position = -NEVER
-        self.role: bool | None = None
         self.role_at = -NEVER
         self.out: dict[tuple[int, int], float] = {}
         self.last_answer = -NEVER
@@ -79,10 +76,8 @@
             self.suspect_since = now
         self.suspect, self.rest_until, self.trial, self.good_trials = why, now + self.rest, None, 0
 
-    def trust(self, now: float) -> None:
-        """Take it back. One that was down a while may have restarted: it counts as cold."""
-        if self.suspect == "down" and now - self.suspect_since > REST[0]:
-            self.cold_from = max(self.cold_from, now)
+    def trust(self) -> None:
+        """Take it back into traffic."""
         self.suspect, self.failing, self.trial, self.rest = "", 0.0, None, REST[0]
 
 
@@ -115,15 +110,17 @@
                 self.side_replicas = False
         self.samples = ([], [])
 
-    def told_role(self, member: Member, primary: bool, at: float) -> None:
-        """Take evidence of a role: the newest about a member counts, and the newest primary."""
+    def told_role(self, member: Member, primary: bool, at: float) -> bool:
+        """Take evidence of a role, the newest counts; true where it made a new primary known."""
         if at < member.role_at:
-            return
-        member.role, member.role_at = primary, at
+            return False
+        member.role_at = at
         if not primary and self.primary is member:
             self.primary = None
-        elif primary and (self.primary is None or at >= self.primary.role_at):
+        elif primary and self.primary is not member and (not self.primary or at >= self.primary.role_at):
             self.primary = member
+            return True
+        return False
 
 
 class Request:
@@ -163,7 +160,6 @@
         self.start_limit = max(LIMIT[0] * 2.0, LIMIT[1] / max(1, settings.drivers))
         self.members: dict[int, Member] = {}
         self.requests: dict[int, Request] = {}
-        self.due: list[tuple[float, int]] = []
         self.actions: list[api.Action] = []
         self.now = 0.0
         self.beat = max(settings.tick, min(c.aim for c in settings.classes) / BEATS)
@@ -272,12 +268,8 @@
     def learn(self, member: Member, group: Group, event: api.Finished, request: Request | None) -> None:
         """Role, position, health, load and the side's sample, from one outcome."""
         now, result, key = self.now, event.result, (event.request, event.attempt)
-        if event.primary is not None:
-            if event.primary and self.primary_side(group) is not member:
-                group.told_role(member, True, now)
-                self.on_primary(group)
-            else:
-                group.told_role(member, event.primary, now)
+        if event.primary is not None and group.told_role(member, event.primary, now):
+            self.on_primary(group)
         self.on_report(member, event.report)
         if event.primary is False:
             self.on_report(member, api.Report(event.position))
@@ -289,6 +281,8 @@
                 self.on_trial(member, key, result)
             elif member.failing > FAILING:
                 member.distrust("failing", now)
+        elif result is Result.CONNECT_FAILED and member.out and now - member.last_answer < REST[0]:
+            member.limit = max(LIMIT[0], len(member.out) * BACK_OFF)  # a full table, not a dead process
         elif result in (Result.CONNECT_FAILED, Result.RESET):
             if member.trial == key or not member.suspect:
                 member.distrust("down", now)
@@ -318,14 +312,14 @@
     def on_trial(self, member: Member, key: tuple[int, int], result: Result) -> None:
         """A suspected member answered: silence is over at once; errors must stay away for several trials."""
         if member.suspect != "failing":
-            member.trust(self.now)
+            member.trust()
         elif member.trial == key:
             if result is Result.ERROR:
                 member.distrust("failing", self.now)
             else:
                 member.good_trials += 1
                 if member.good_trials >= TRIALS:
-                    member.trust(self.now)
+                    member.trust()
 
     def on_report(self, member: Member, report: api.Report | None) -> None:
         """Positions only grow; one ahead of now is not believed. A report is as old as its position."""
@@ -336,9 +330,7 @@
             member.position = position
         if report.primary is not None and position is not None:
             group = self.groups[member.group]
-            before = group.primary
-            group.told_role(member, report.primary, min(position, self.now))
-            if group.primary is member and before is not member:
+            if group.told_role(member, report.primary, min(position, self.now)):
                 self.on_primary(group)
 
     def on_probed(self, event: api.Probed) -> None:
@@ -348,13 +340,12 @@
             return
         member.probing = False
         self.on_report(member, event.report)
-        if member.suspect == "down":
-            if event.result is Result.OK:
-                member.suspect, member.rest_until = "down", self.now
-                member.last_answer = self.now
-            else:
-                member.distrust("down", self.now)
-                member.last_answer = -NEVER
+        if member.suspect == "down" and event.result is Result.OK:
+            if self.now - member.suspect_since > REST[0]:
+                member.cold_from = max(member.cold_from, self.now)  # it may well have restarted
+            member.suspect, member.rest_until = "silent", self.now
+        elif member.suspect == "down":
+            member.distrust("down", self.now)
 
     def on_primary(self, group: Group) -> None:
         """A primary was found: what waits for one goes on, and writes stuck at the old one are sent again."""
@@ -385,8 +376,9 @@
         if member.cold_from + self.rules.warm_within > self.now and not self.cold_room(member):
             return False
         if member.suspect:
-            tried = member.suspect != "down" or member.last_answer > member.suspect_since
-            return member.trial is None and self.now >= member.rest_until and tried
+            if member.suspect == "down" and self.settings.probes and member.rest < REST[1]:
+                return False  # a probe comes first, but one that always fails must not decide alone
+            return member.trial is None and self.now >= member.rest_until
         return len(member.out) < member.limit * share
 
     def warmth(self, member: Member) -> float:
@@ -412,10 +404,6 @@
             return member.position >= self.now - request.cls.max_age + POSITION_SLACK
         return kind is Freshness.SESSION and (request.need == -NEVER or member.position >= request.need)
 
-    def primary_side(self, group: Group) -> Member | None:
-        """The member last told primary, unless an answer has told since that it is none."""
-        return group.primary
-
     # Requests
 
     def on_arrived(self, event: api.Arrived) -> None:
@@ -439,21 +427,21 @@
             group.probes = min(group.probes + PROBE_BUDGET, float(len(group.members)))
         best = max(c.worth / self.work[c.name] for c in self.settings.classes)
         request.worthy = LEAST_WORTHY + (1.0 - LEAST_WORTHY) * cls.worth / self.work[cls.name] / best
-        if cls.effect is Effect.SAFE:
-            heapq.heappush(self.due, (self.now + HEDGE * cls.aim, request.id))
         self.place(request)
 
     def place(self, request: Request) -> None:
         """Send to the best member that may take it now; let it wait for one while that can still help."""
         cls, now = request.cls, self.now
-        keyed_over = any(now - sent > cls.window for _, sent in request.may_have_run)
-        too_late = request.until - now < max(self.margin, self.work[cls.name] / 2)
-        if keyed_over or too_late or now + self.margin >= request.give_up:
+        if request.until - now < max(self.margin, self.work[cls.name] / 2):
             self.finish(request)
             return
         member = self.choose(request)
         if member is not None and self.may_resend(request, member):
             self.send(request, member)
+        elif now + self.margin >= request.give_up or any(
+            now - sent > cls.window for _, sent in request.may_have_run if cls.effect is not Effect.SAFE
+        ):
+            self.finish(request)
         else:
             request.group.waiting.append(request)
 
@@ -559,34 +547,17 @@
     def next_step(self, request: Request) -> None:
         """After a failed attempt: another one where rules, time and budget allow, else the final answer."""
         cls = request.cls
-        passed = self.now - request.arrived >= cls.aim and cls.late_worth == 0
-        if (
-            self.now + self.margin >= request.until
-            or passed
-            or len(request.attempts) >= self.settings.most_attempts
-        ):
+        over = self.now - request.arrived >= cls.aim and cls.late_worth == 0
+        over = over or self.now + self.margin >= request.until
+        over = over or len(request.attempts) >= self.settings.most_attempts
+        over = over or (cls.effect is Effect.UNSAFE and bool(request.may_have_run))
+        if request.may_have_run and not over:
+            over = self.budget < (1.0 if cls.freshness is Freshness.WRITE else BUDGET[1] / 3)
+            self.budget -= not over
+        if over:
             self.finish(request)
-            return
-        if request.may_have_run:
-            floor = 1.0 if cls.freshness is Freshness.WRITE else BUDGET[1] / 3
-            if self.budget < floor:
-                self.finish(request)
-                return
-            self.budget -= 1.0
-        group = request.group
-        if cls.freshness is Freshness.WRITE and request.may_have_run:
-            member = group.primary
-            if member is None or not self.may_resend(request, member):
-                if not all(self.now - sent <= cls.window for _, sent in request.may_have_run):
-                    self.finish(request)
-                else:
-                    group.waiting.append(request)
-                return
-        member = self.choose(request)
-        if member is not None and self.may_resend(request, member):
-            self.send(request, member)
         else:
-            group.waiting.append(request)
+            self.place(request)
 
     def finish(self, request: Request) -> None:
         """The one final answer: refused only where trying again is harmless, else failed."""
@@ -618,12 +589,8 @@
     # The beat
 
     def on_beat(self) -> None:
-        """What time alone brings: silence, second copies, waiting requests, probes, periods."""
+        """What time alone brings: silence, waiting requests, probes, periods."""
         now = self.now
-        while self.due and self.due[0][0] <= now:
-            request = self.requests.get(heapq.heappop(self.due)[1])
-            if request is not None and request.out:
-                self.hedge(request)
         for group in self.groups.values():
             self.look_at(group)
             if group.waiting:
@@ -673,7 +640,7 @@
             if not self.settings.probes or member.probing or member.state is not State.UP:
                 continue
             if member.suspect == "down":
-                if now >= member.rest_until and member.last_answer <= member.suspect_since:
+                if now >= member.rest_until:
                     self.probe(member)
                 continue
             behind = now - member.position
