Keep session reads a millisecond from the commit; commits count after the request has ended

Positions and commits are rounded to milliseconds, so equal figures do not prove the order; a commit told after its request ended was lost. Told from lag: the age was under a millisecond, and bounded reads, which kept the slack, never broke.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -19,7 +19,7 @@
 EXPLORE = 0.04  # share of open reads that try the other side; paper's Exploration Fraction is 0.10
 LEAST_SAMPLE = 5  # answers a side needs in a period to be compared; ours, one fast answer proves nothing
 # Freshness.
-POSITION_SLACK = 0.001  # s; positions are told in whole milliseconds, and a clock may differ by one
+POSITION_SLACK = 0.001  # s; positions and commits are told in whole milliseconds, rounded either way
 PROBE_LEAD = 0.3  # share of a read's bound that must be left before its position is asked for anew
 PROBE_GAP = 0.25  # least time between two probes of a member, as a share of that bound
 # Health.
@@ -54,7 +54,7 @@
         self.told_draining = False
         self.position = -NEVER
         self.role_at = -NEVER
-        self.out: dict[tuple[int, int], float] = {}
+        self.out: dict[tuple[int, int], tuple[float, Request]] = {}
         self.last_answer = -NEVER
         self.failing = 0.0
         self.suspect = ""  # why it is kept from traffic: "silent", "down" or "failing"
@@ -246,26 +246,23 @@
     def on_finished(self, event: api.Finished) -> None:
         """Learn from the end of an attempt, then serve, resend or give the request up."""
         member = self.members.get(event.member)
-        if member is None or member.out.pop((event.request, event.attempt), None) is None:
+        if member is None or (event.request, event.attempt) not in member.out:
             return
-        group, request = self.groups[member.group], self.requests.get(event.request)
-        self.learn(member, group, event, request)
-        if request is None:
-            return
-        sent = request.out.pop(event.attempt, self.now)
-        if event.final:
+        sent, request = member.out.pop((event.request, event.attempt))
+        group = self.groups[member.group]
+        self.learn(member, group, event, request.cls)
+        request.out.pop(event.attempt)
+        if event.result is Result.OK and request.cls.freshness is Freshness.WRITE and event.position:
+            group.sessions[request.session] = max(group.sessions.get(request.session, 0.0), event.position)
+        if request.done or event.final:
             self.close(request)
-            if event.result is Result.OK and request.cls.freshness is Freshness.WRITE and event.position:
-                group.sessions[request.session] = max(
-                    group.sessions.get(request.session, 0.0), event.position
-                )
             return
         if event.result not in NEVER_RAN:
             request.may_have_run.append((member, sent))
         if not request.out:
             self.next_step(request)
 
-    def learn(self, member: Member, group: Group, event: api.Finished, request: Request | None) -> None:
+    def learn(self, member: Member, group: Group, event: api.Finished, cls: api.RequestClass) -> None:
         """Role, position, health, load and the side's sample, from one outcome."""
         now, result, key = self.now, event.result, (event.request, event.attempt)
         if event.primary is not None and group.told_role(member, event.primary, now):
@@ -290,8 +287,7 @@
             member.distrust("silent", now)
         if member.trial == key:
             member.trial = None
-        cls = request.cls if request else None
-        if cls is None or result not in (Result.OK, Result.TIMEOUT, Result.FULL):
+        if result not in (Result.OK, Result.TIMEOUT, Result.FULL):
             return
         late = result is not Result.OK or event.elapsed > LATE * cls.aim
         member.in_time = 0 if late else member.in_time + 1
@@ -354,13 +350,9 @@
             for member in group.members.values():
                 if member is group.primary:
                     continue
-                for request_id, _ in list(member.out):
-                    request = self.requests.get(request_id)
-                    if (
-                        request
-                        and request.cls.freshness is Freshness.WRITE
-                        and self.may_resend(request, group.primary)
-                    ):
+                for _, request in list(member.out.values()):
+                    write = not request.done and request.cls.freshness is Freshness.WRITE
+                    if write and self.may_resend(request, group.primary):
                         self.send(request, group.primary)
         self.place_waiting(group)
 
@@ -402,7 +394,7 @@
             return True
         if kind is Freshness.BOUNDED:
             return member.position >= self.now - request.cls.max_age + POSITION_SLACK
-        return kind is Freshness.SESSION and (request.need == -NEVER or member.position >= request.need)
+        return kind is Freshness.SESSION and member.position >= request.need + POSITION_SLACK
 
     # Requests
 
@@ -419,7 +411,7 @@
         if cls.freshness is Freshness.SESSION:
             if self.settings.marks is Marks.CARRIED:
                 if event.session_age > 0:
-                    request.need = self.now - event.session_age + POSITION_SLACK
+                    request.need = self.now - event.session_age
             else:
                 request.need = group.sessions.get(event.session, group.session_floor)
         if cls.freshness in (Freshness.SESSION, Freshness.BOUNDED):
@@ -514,7 +506,8 @@
         hop = len(request.attempts)
         key = (request.id, hop)
         request.attempts.append(member)
-        request.out[hop] = member.out[key] = self.now
+        request.out[hop] = self.now
+        member.out[key] = (self.now, request)
         member.sent += 1
         member.allowance -= 1.0
         if member.suspect:
@@ -621,7 +614,7 @@
             listed = [m.position for m in group.members.values() if m.state is State.UP]
             floor = min(listed, default=-NEVER)
             group.session_floor = max(group.session_floor, floor)
-            group.sessions = {k: v for k, v in group.sessions.items() if v > floor}
+            group.sessions = {k: v for k, v in group.sessions.items() if v + POSITION_SLACK > floor}
 
     def look_at(self, group: Group) -> None:
         """Suspect the silent, and ask for positions and roles that are wanted."""
@@ -631,12 +624,11 @@
         nearest = sorted(group.members.values(), key=lambda m: (m.zone != self.settings.zone, -m.position))
         for member in nearest:
             if member.out and not member.suspect:
-                since = max(member.last_answer, next(iter(member.out.values())))
+                since = max(member.last_answer, next(iter(member.out.values()))[0])
                 if (now - since) * len(member.out) > SILENCE * typical and now - since > 2.0 * typical:
                     member.distrust("silent", now)
-                    for request_id, _ in list(member.out):
-                        if request := self.requests.get(request_id):
-                            self.hedge(request)
+                    for _, request in list(member.out.values()):
+                        self.hedge(request)
             if not self.settings.probes or member.probing or member.state is not State.UP:
                 continue
             if member.suspect == "down":
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -256,3 +256,23 @@
     request, actions = rig.ask("session", session_age=0.1)
     assert sends(actions, request) == [3]
     assert sends(rig.end(request, 0, 3, Result.MISS, primary=False), request) == [2]
+
+
+def test_a_commit_and_a_position_in_the_same_millisecond_do_not_count_as_reached():
+    # Incident i85c1e8: both are rounded to milliseconds, so equal figures do not prove the order.
+    rig = Rig(replace(SETTINGS, marks=Marks.REMEMBERED))
+    request, _ = rig.ask("write", session="s")
+    rig.end(request, 0, 1, Result.OK, primary=True, position=rig.now)
+    rig.heard(2, 0.0)
+    read, actions = rig.ask("session", session="s")
+    assert sends(actions, read) == [1]
+
+
+def test_a_write_that_commits_after_its_client_left_still_binds_its_session():
+    rig = Rig(replace(SETTINGS, marks=Marks.REMEMBERED))
+    rig.heard(2, 0.1)
+    request, _ = rig.ask("write", session="s")
+    rig.feed(api.ClientGone(request))
+    rig.end(request, 0, 1, Result.OK, primary=True, position=rig.now)
+    read, actions = rig.ask("session", session="s")
+    assert sends(actions, read) == [1]
