--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -52,7 +52,7 @@
         self.size, self.state, self.started = listing.size, listing.state, listing.started
         self.listed_primary = False
         self.told_draining = False
-        self.position = -NEVER
+        self.position, self.lag = -NEVER, NEVER
         self.role_at = -NEVER
         self.out: dict[tuple[int, int], tuple[float, Request]] = {}
         self.last_answer = -NEVER
@@ -133,7 +133,7 @@
         self.attempts: list[Member] = []
         self.out: dict[int, float] = {}
         self.may_have_run: list[tuple[Member, float]] = []
-        self.done = self.hedged = False
+        self.done = self.hedged = self.asked = False
         self.worthy = 1.0
         late = cls.late_worth > 0 and cls.freshness is Freshness.WRITE
         self.give_up = self.until if late else min(self.until, now + WAIT * cls.aim)
@@ -323,7 +323,7 @@
             return
         position = report.position
         if position is not None and member.position < position <= self.now + POSITION_SLACK:
-            member.position = position
+            member.position, member.lag = position, self.now - position
         if report.primary is not None and position is not None:
             group = self.groups[member.group]
             if group.told_role(member, report.primary, min(position, self.now)):
@@ -342,6 +342,7 @@
             member.suspect, member.rest_until = "silent", self.now
         elif member.suspect == "down":
             member.distrust("down", self.now)
+        self.place_waiting(self.groups[member.group])
 
     def on_primary(self, group: Group) -> None:
         """A primary was found: what waits for one goes on, and writes stuck at the old one are sent again."""
@@ -458,9 +459,32 @@
             return main
         if (member := self.pick(request)) is not None:
             return member
-        if main is not None and self.may_send(main, share):
-            return main
-        return None
+        if self.ask_first(request):
+            return None
+        return main if main is not None and self.may_send(main, share) else None
+
+    def ask_first(self, request: Request) -> bool:
+        """Before the primary bears a read: ask a likely replica for its position, once."""
+        if request.asked or request.cls.freshness is Freshness.ANY or not self.settings.probes:
+            return False
+        if self.now + 2.0 * self.margin >= request.give_up or not self.settings.reports_position:
+            return False
+        request.asked = True
+        bound = request.cls.max_age if request.cls.freshness is Freshness.BOUNDED else self.now - request.need
+        likely = [
+            m
+            for m in request.group.members.values()
+            if m is not request.group.primary
+            and m.lag < bound
+            and not m.suspect
+            and self.may_send(m, request.worthy)
+        ]
+        if not likely:
+            return False
+        member = min(likely, key=lambda m: (m.zone != self.settings.zone, m.lag))
+        if not member.probing:
+            self.probe(member)
+        return True
 
     def pick(self, request: Request, room: float = 1.0) -> Member | None:
         """Two-choice among the replicas that qualify, by own requests in flight for their size."""
