--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -35,6 +35,7 @@
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
 WAIT = 0.3  # share of its aim that a read may wait for room before it is refused
 HEDGE_ROOM = 0.4  # share of a member's room that second copies may use: they must not feed an overload
+OWN_ZONE = 0.15  # share of the aim by which a member elsewhere must be quicker to win a tie
 COLD_BURST = 0.25  # s of its allowance that a cold member may be sent at once
 BUDGET = (0.15, 10.0)  # resends and second copies: earned by each request, and kept at most
 PROBE_BUDGET = 0.4  # probes that each read in need of a position earns its group; one a member is kept
@@ -63,7 +64,7 @@
         self.trial: tuple[int, int] | None = None
         self.good_trials = 0
         self.limit, self.limit_at = start_limit, -NEVER
-        self.in_time = 0
+        self.in_time, self.strain = 0, 0.0
         self.cold_from = -NEVER
         self.allowance, self.allowance_at = 1.0, 0.0
         self.sent, self.rate = 0, 0.0
@@ -290,6 +291,7 @@
         if result not in (Result.OK, Result.TIMEOUT, Result.FULL):
             return
         late = result is not Result.OK or event.elapsed > LATE * cls.aim
+        member.strain += 0.1 * (event.elapsed / cls.aim - member.strain)
         member.in_time = 0 if late else member.in_time + 1
         if late and now - member.limit_at > self.work[cls.name]:
             member.limit = max(LIMIT[0], min(member.limit, len(member.out) + 1.0) * BACK_OFF)
@@ -507,9 +509,10 @@
         second = qualified[int(self.random.random() * len(qualified))]
         return min((first, second), key=self.busyness)
 
-    def busyness(self, member: Member) -> tuple[float, bool]:
-        """Own requests in flight for its size and warmth; on a tie the own zone is preferred."""
-        return len(member.out) / (member.size * self.warmth(member)), member.zone != self.settings.zone
+    def busyness(self, member: Member) -> tuple[float, float]:
+        """Own requests in flight for its size and warmth; on a tie the quicker, then the own zone."""
+        in_flight = len(member.out) / (member.size * self.warmth(member))
+        return in_flight, member.strain + OWN_ZONE * (member.zone != self.settings.zone)
 
     def scout(self, group: Group, request: Request) -> Member | None:
         """With no primary known one write at a time tries the members in id order, then pauses."""
