--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -30,7 +30,7 @@
 # Load.
 LIMIT = (1.0, 48.0)  # own requests in flight a member may have: at least; to begin with, all drivers together
 LATE = 0.8  # share of its aim beyond which an answer says that the member is too busy
-STRAINED = 0.4  # mean latency, as a share of the aim, below which a late answer is a heavy request's own
+STRAINED = 0.3  # mean latency, as a share of the aim, below which a late answer is a heavy request's own
 SPEED_UP = (5.0, 25.0)  # growth is up to this much faster, one more for each so many answers in time on end
 BACK_OFF, GROW = 0.88, 0.008  # a late answer cuts the limit to this share; one in time lets it grow by this
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
@@ -292,9 +292,10 @@
         if result not in (Result.OK, Result.TIMEOUT, Result.FULL):
             return
         late = result is not Result.OK or event.elapsed > LATE * cls.aim
+        strained = member.strain > STRAINED
         member.strain += 0.1 * (min(1.5, event.elapsed / cls.aim) - member.strain)
         member.in_time = 0 if late else member.in_time + 1
-        if late and member.strain > STRAINED and now - member.limit_at > self.work[cls.name]:
+        if late and strained and now - member.limit_at > self.work[cls.name]:
             member.limit = max(LIMIT[0], min(member.limit, len(member.out) + 1.0) * BACK_OFF)
             member.limit_at = now
         elif not late and len(member.out) + 1 > member.limit / 2:
