--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -37,6 +37,7 @@
 WAIT = 0.3  # share of its aim that a read may wait for room before it is refused
 HEDGE_ROOM = 0.4  # share of a member's room that second copies may use: they must not feed an overload
 OWN_ZONE = 0.15  # share of the aim by which a member elsewhere must be quicker to win a tie
+COLD_SHARE = 0.5  # share of the stated overload multiple that a cold member's allowance may use
 COLD_BURST = 0.25  # s of its allowance that a cold member may be sent at once
 BUDGET = (0.15, 10.0)  # resends and second copies: earned by each request, and kept at most
 PROBE_BUDGET = 0.4  # probes that each read in need of a position earns its group; one a member is kept
@@ -386,7 +387,8 @@
 
     def cold_room(self, member: Member) -> bool:
         """Give a cold member its warmth's share of what its warm peers get, with no bursts."""
-        rate = max(1.0, self.warmth(member) * self.groups[member.group].reference)
+        factor = max(1.0, COLD_SHARE * self.rules.overload_factor)
+        rate = max(1.0, factor * self.warmth(member) * self.groups[member.group].reference)
         earned = (self.now - member.allowance_at) * rate
         member.allowance = min(max(1.0, rate * COLD_BURST), member.allowance + earned)
         member.allowance_at = self.now
