Value what a tenant sends beyond its quota at the stated share

A driver knows only its own part, so the quota is split evenly among the stated drivers: one that carries more sees a tenant as over sooner, which matters only where room is scarce.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -163,6 +163,7 @@
         self.start_limit = max(LIMIT[0] * 2.0, LIMIT[1] / max(1, settings.drivers))
         self.members: dict[int, Member] = {}
         self.requests: dict[int, Request] = {}
+        self.tenants: dict[str, tuple[float, float]] = {}
         self.actions: list[api.Action] = []
         self.now = 0.0
         self.beat = max(settings.tick, min(c.aim for c in settings.classes) / BEATS)
@@ -425,9 +426,20 @@
             group.needs_position = self.now
             group.probes = min(group.probes + PROBE_BUDGET, float(len(group.members)))
         best = max(c.worth / self.work[c.name] for c in self.settings.classes)
-        request.worthy = LEAST_WORTHY + (1.0 - LEAST_WORTHY) * cls.worth / self.work[cls.name] / best
+        worth = cls.worth * self.share_worth(event.tenant)
+        request.worthy = LEAST_WORTHY + (1.0 - LEAST_WORTHY) * worth / self.work[cls.name] / best
         self.place(request)
 
+    def share_worth(self, tenant: str) -> float:
+        """What a tenant sends beyond an even part of its quota is worth little where room is scarce."""
+        if tenant not in self.settings.quotas:
+            return 1.0
+        rate = self.settings.quotas[tenant] / max(1, self.settings.drivers)
+        left, at = self.tenants.get(tenant, (rate, self.now))
+        left = min(rate, left + (self.now - at) * rate)
+        self.tenants[tenant] = (max(0.0, left - 1.0), self.now)
+        return 1.0 if left >= 1.0 else self.settings.over_quota_worth
+
     def place(self, request: Request) -> None:
         """Send to the best member that may take it now; let it wait for one while that can still help."""
         cls, now = request.cls, self.now
@@ -591,10 +603,8 @@
             or not (request.may_have_run or request.out)
             or (cls.effect is Effect.KEYED and cls.scope is Scope.ALL)
         )
-        if harmless:
-            self.actions.append(api.Refuse(request.id, self.come_back(request)))
-        else:
-            self.actions.append(api.Fail(request.id))
+        answer = api.Refuse(request.id, self.come_back(request)) if harmless else api.Fail(request.id)
+        self.actions.append(answer)
         self.close(request)
 
     def come_back(self, request: Request) -> float:
@@ -682,9 +692,8 @@
 
     def hedge(self, request: Request) -> None:
         """A second copy of a safe read that waits too long, while the budget lasts."""
-        if request.hedged or request.cls.effect is not Effect.SAFE or not self.settings.second_copies:
-            return
-        if self.budget < BUDGET[1] / 3 or request.done:
+        safe = request.cls.effect is Effect.SAFE and self.settings.second_copies
+        if request.done or request.hedged or not safe or self.budget < BUDGET[1] / 3:
             return
         member = self.pick(request, HEDGE_ROOM)
         if member is not None and not member.suspect and self.may_resend(request, member):
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -264,3 +264,14 @@
 def test_settings_that_cannot_be_used_are_named(changes, name):
     with pytest.raises(ValueError, match=name):
         Router(replace(SETTINGS, **changes), 1)
+
+
+def test_a_tenant_beyond_its_quota_yields_to_the_others():
+    alone = (SETTINGS.classes[1],)
+    quotas = {"a": 10.0, "b": 1000.0}
+    rig = Rig(replace(SETTINGS, classes=alone, quotas=quotas, over_quota_worth=0.1))
+    for _ in range(300):
+        rig.ask("any", tenant="a")
+        rig.ask("any", tenant="b")
+    sent = {a.request for a in rig.log if isinstance(a, api.Send)}
+    assert sum(r % 2 == 0 for r in sent) > sum(r % 2 == 1 for r in sent)
