--- a/sedgepitch/wirehost.py
+++ b/sedgepitch/wirehost.py
@@ -252,7 +252,7 @@
         """Answer one batch."""
         try:
             batch = json.loads(line)
-        except ValueError:
+        except (ValueError, RecursionError):
             raise WireError("the line is not JSON") from None
         if not isinstance(batch, dict):
             raise WireError("the line is not a JSON object")
@@ -262,7 +262,10 @@
         for item in items:
             if not isinstance(item, dict):
                 raise WireError("items: an event is not an object")
-            self.sort(item, events)
+            try:
+                self.sort(item, events)
+            except (TypeError, AttributeError, ValueError):
+                raise WireError(f"{item.get('type')}: a field has the wrong type") from None
         cmds = [
             to_wire(name, action)
             for name, batch_events in events.items()
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -144,6 +144,11 @@
             "settings.classes",
         ),
         (batch(1, 1.0, *start("d1"), {"type": "query", "driver": "d1", "qos": "r"}), "'job' is missing"),
+        (batch(1, 1.0, {"type": "manifest", "rosterId": 0, "lines": [4]}), "manifest: a field has the wrong"),
+        (
+            batch(1, 1.0, *start("d1"), dict(query("d1", 1, "r"), tokenAgeMs="x")),
+            "query: a field has the wrong type",
+        ),
         (batch(1, 1.0, *start("d1"), {"type": "sync", "driver": "d1", "how": "Partial", "rosterId": 9}), "9"),
     ],
 )
