--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -381,9 +381,7 @@
 
     def may_send(self, member: Member, request: Request, room: float = 1.0) -> bool:
         """Drain, cold start, health and own load, in that order; a limit below one is a chance."""
-        if member.state is not State.UP and (member.told_draining or not self.rules.removal_not_binding):
-            return False
-        if not self.cold_room(member, request):
+        if not self.open_to(member, request):
             return False
         if member.suspect:
             group = request.group
@@ -402,8 +400,10 @@
         age = self.now - member.cold_from
         return 1.0 if age >= within else start + (1.0 - start) * max(0.0, age) / within
 
-    def cold_room(self, member: Member, request: Request) -> bool:
-        """Let a cold member have its warmth's share of own requests: chances sum up, whatever the drivers."""
+    def open_to(self, member: Member, request: Request) -> bool:
+        """Rules 3 and 4: not drained; and a cold one gets its warmth's share of own requests, by chance."""
+        if member.state is not State.UP and (member.told_draining or not self.rules.removal_not_binding):
+            return False
         if member.cold_from + self.rules.warm_within <= self.now:
             return True
         share = COLD_SHARE * self.rules.overload_factor * self.warmth(member)
@@ -571,10 +571,10 @@
         self.actions.append(api.Send(request.id, member.id, 0.0))
 
     def may_resend(self, request: Request, member: Member) -> bool:
-        """Rules 1 and 2 for a further attempt at this member."""
+        """All rules for an attempt at this member; every send passes here."""
         settings, cls = self.settings, request.cls
         over = request.done or len(request.attempts) >= settings.most_attempts or self.now >= request.until
-        if over or (request.out and not settings.second_copies):
+        if over or (request.out and not settings.second_copies) or not self.open_to(member, request):
             return False
         risky = request.may_have_run + [(request.attempts[hop], sent) for hop, sent in request.out.items()]
         if cls.effect is Effect.SAFE or not risky:
@@ -684,7 +684,7 @@
             if self.now < member.rest_until or member.trial:
                 continue
             copy = request.out and request.cls.effect is Effect.SAFE and member not in request.attempts
-            copy = copy and self.may_resend(request, member) and self.cold_room(member, request)
+            copy = copy and self.may_resend(request, member)
             if copy and self.due(member) and self.fresh_enough(member, request):
                 self.send(request, member)
             elif (copy or not self.due(member)) and self.now - member.probed_at >= REST[0] / 2:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -142,6 +142,21 @@
         assert (2 in sends(rig.log)) is used
 
 
+@pytest.mark.parametrize("how", ["trial", "stuck write"])
+def test_no_way_of_sending_passes_a_drain(how):
+    # Incident ie07cc6: a trial by copy went to a suspect that the list had removed meanwhile.
+    rig = Rig()
+    request, _ = rig.ask("write", ttl=1.9)
+    rig.router.distrust(rig.router.members[3], "silent")
+    rig.feed(api.Members((listing(3, state=State.GONE),), complete=False))
+    rig.run(0.8)
+    if how == "stuck write":
+        rig.heard(3, 0.0, primary=True)
+    for _ in range(10):
+        rig.ask("any")
+    assert 3 not in sends(rig.log)
+
+
 # Rule 4: cold members
 
 
