Reported load as a hint, two losses before idle connections are closed; guards that earn nothing removed

What a unit of reported load adds in latency is learned by regression; no send that would end past what still earns, a tie goes to the less loaded, a loaded primary bears no reads. Also covers hot keys and bursts; may hurt where reports are untrue: they count for a second at most and only as latency has borne them out.

--- a/sedgepitch/interface.py
+++ b/sedgepitch/interface.py
@@ -32,7 +32,6 @@
     """Which members drop the repeats of a keyed request."""
 
     ALL = "all"
-    ZONE = "zone"
     CELL = "cell"
 
 
@@ -100,7 +99,6 @@
     start_capacity: float = 1.0
     warm_within: float = 0.0
     ask_within: float = 0.0
-    removal_not_binding: bool = False
 
 
 @dataclass(slots=True, frozen=True)
@@ -158,6 +156,7 @@
 
     position: float | None = None
     primary: bool | None = None
+    load: float | None = None  # requests that it holds, or that wait there
 
 
 # Events
--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -42,7 +42,6 @@
 COLD_SHARE = 0.5  # share of the stated overload multiple, for its warmth, that a cold member may be sent
 BUDGET = (0.15, 5.0)  # resends and second copies: earned by each request, and kept at most
 PATROL = 4.0  # looks at waiting requests within the shortest aim
-# Connections.
 KEEP_WARM = 0.5  # s; a driver spreads over as many members as it would use this often each, two at least
 FORGET_IDLE = 1.5  # growth, each period, of the idle time after which a connection is taken for lost
 NEVER = float("inf")
@@ -57,7 +56,7 @@
     def __init__(self, listing: api.Listing, start_limit: float) -> None:
         self.id, self.group, self.zone = listing.member, listing.group, listing.zone
         self.size, self.state, self.started = listing.size, listing.state, listing.started
-        self.listed_primary = self.told_draining = False
+        self.listed_primary = False
         self.position, self.lag, self.role_at = -NEVER, NEVER, -NEVER
         self.out: dict[tuple[int, int], tuple[float, Request]] = {}
         self.last_answer = self.watched = self.used_at = -NEVER
@@ -69,6 +68,7 @@
         self.trial, self.good_trials = None, 0
         self.limit, self.limit_at = start_limit, -NEVER  # own requests in flight
         self.strain, self.cold_from = 0.0, -NEVER
+        self.load, self.load_at = 0.0, -NEVER  # as it reported
         self.dead = False  # a probe has failed since it was lost
         self.probing, self.probed_at = False, -NEVER
 
@@ -81,7 +81,6 @@
     """The members that hold the same data: who is primary, the two samples, and the side in use."""
 
     def __init__(self) -> None:
-        self.members: dict[int, Member] = {}
         self.order: list[Member] = []  # this driver's own order of preference
         self.suspects: dict[int, Member] = {}
         self.primary: Member | None = None
@@ -124,7 +123,8 @@
 
     def __init__(self, event: api.Arrived, cls: api.RequestClass, group: Group, now: float, luck: float):
         self.id, self.cls, self.group, self.session = event.request, cls, group, event.session
-        self.arrived, self.until = now, now + event.time_left
+        self.until = now + event.time_left
+        self.useful = self.until if cls.late_worth > 0 else min(self.until, now + cls.aim)
         self.need = -NEVER
         self.attempts: list[Member] = []
         self.out: dict[int, float] = {}
@@ -146,18 +146,18 @@
         self.classes = {c.name: c for c in settings.classes}
         self.work = {c.name: c.aim * 0.2 for c in settings.classes}
         self.groups: dict[int, Group] = {}
-        self.start_limit = max(2.0, LIMIT[1] / max(1, settings.drivers))
         self.members: dict[int, Member] = {}
         self.requests: dict[int, Request] = {}
         self.now, self.actions = 0.0, []
-        aim = min(c.aim for c in settings.classes)
+        self.aim = aim = min(c.aim for c in settings.classes)
         self.patrol_every, self.margin = max(settings.tick, aim / PATROL), 3.0 * settings.tick
         self.typical = aim * 0.2  # an answer's latency
         self.wake_at, self.wakes, self.stalled = -NEVER, 0, False
         self.busy: dict[int, Member] = {}
         self.zone_strain: dict[str, float] = {}
-        self.heard_at, self.idle_limit = -NEVER, NEVER
-        self.next_period, self.budget = NEVER, 1.0
+        self.load_cost = (0.0, 1.0)  # s of latency for each unit of reported load: a regression's two sums
+        self.heard_at, self.idle_limit, self.idle_lost = -NEVER, NEVER, 0
+        self.next_period, self.budget = -NEVER, 1.0
         self.subscribe_at, self.subscribe_pause = -NEVER if settings.subscribe else NEVER, REST[0]
         bounds = [c.max_age for c in settings.classes if c.freshness is Freshness.BOUNDED]
         self.bound = min(bounds, default=aim)
@@ -168,8 +168,6 @@
         self.stalled = now - self.wake_at > self.patrol_every  # what waited for us looks late and is not
         if now >= self.next_period:
             self.on_period()
-        elif self.next_period == NEVER:
-            self.next_period = now + PERIOD
         for event in events:
             match event:
                 case api.Arrived():
@@ -217,8 +215,9 @@
         member = self.members.get(listing.member)
         group = self.groups.setdefault(member.group if member else listing.group, Group())
         if member is None:
-            member = self.members[listing.member] = Member(listing, self.start_limit)
-            group.members[listing.member] = member
+            member = self.members[listing.member] = Member(
+                listing, max(2.0, LIMIT[1] / max(1, self.settings.drivers))
+            )
             member.turn = self.random.random() ** (1.0 / member.size)  # the larger, the likelier early
             group.order.append(member)
             group.order.sort(key=lambda m: -m.turn)
@@ -228,8 +227,6 @@
             if member.suspect == "down":
                 member.rest_until = self.now + REST[0] * self.random.random()
         member.state, member.size = listing.state, listing.size
-        if listing.state is not State.GONE:
-            member.told_draining = listing.state is State.DRAINING
         if listing.primary and not member.listed_primary:
             held = group.primary
             if held is None or held.suspect or held.state is not State.UP:
@@ -268,7 +265,7 @@
         """Role, position, health, load and the side's sample, from one outcome."""
         now, cls, result, key = self.now, request.cls, event.result, (event.request, event.attempt)
         if event.primary is not None and group.told_role(member, event.primary, now):
-            self.on_primary(group)
+            self.place_waiting(group)
         self.on_report(member, event.report)
         if event.primary is False:
             self.on_report(member, api.Report(event.position))
@@ -296,7 +293,8 @@
             return
         late = result is not Result.OK or event.elapsed > LATE * cls.aim
         strained = member.strain > STRAINED
-        share, around = min(1.5, event.elapsed / cls.aim), self.zone_strain.get(member.zone, 0.0)
+        share = 1.5 if result is Result.FULL else min(1.5, event.elapsed / cls.aim)
+        around = self.zone_strain.get(member.zone, 0.0)
         member.strain += gain * (share - member.strain)
         self.zone_strain[member.zone] = around + 0.1 * (share - around)
         if late and (strained or result is Result.FULL) and now - member.limit_at > self.work[cls.name]:
@@ -306,7 +304,12 @@
             member.limit += max(GROW_LEAST, GROW * member.limit)
         if cls.freshness in (Freshness.BOUNDED, Freshness.ANY) and result is not Result.FULL:
             group.samples[member is group.primary].append(event.elapsed)
+        if result is Result.OK and event.report and event.report.load:
+            load, (cost, square) = event.report.load, self.load_cost
+            cost += load * max(0.0, event.elapsed - self.work[cls.name])
+            self.load_cost = (0.98 * cost, 0.98 * (square + load * load))
         if result is Result.OK:
+            self.idle_lost = 0 if member.idle > SILENCE * self.typical else self.idle_lost
             self.typical += 0.05 * (event.elapsed - self.typical)
             known = self.work[cls.name]
             self.work[cls.name] = known + 0.02 * known * (3.0 if event.elapsed > known * 1.5 else -1.0)
@@ -337,13 +340,15 @@
     def on_report(self, member: Member, report: api.Report | None) -> None:
         """Positions only grow; one ahead of now is not believed. A report is as old as its position."""
         position = report.position if report else None
+        if report and report.load is not None:
+            member.load, member.load_at = report.load, self.now
         if position is None:
             return
         if member.position < position <= self.now + POSITION_SLACK:
             member.position, member.lag = position, self.now - position
         group = self.groups[member.group]
         if report.primary is not None and group.told_role(member, report.primary, min(position, self.now)):
-            self.on_primary(group)
+            self.place_waiting(group)
 
     def on_probed(self, event: api.Probed) -> None:
         """A probe gives position and role; that it is answered shows only that a process runs."""
@@ -366,17 +371,6 @@
         if group.suspects and group.last is not None:
             self.tend(group, group.last)
 
-    def on_primary(self, group: Group) -> None:
-        """A primary was found: what waits for one goes on, and writes stuck at the old one are sent again."""
-        group.scout = None
-        for member in list(self.busy.values()):
-            for _, request in list(member.out.values()):
-                stuck = member is not group.primary and request.group is group and not request.done
-                stuck = stuck and request.cls.freshness is Freshness.WRITE and self.settings.second_copies
-                if stuck and group.primary is not None and self.may_resend(request, group.primary):
-                    self.send(request, group.primary)
-        self.place_waiting(group)
-
     # Who may be sent to, who is recent enough, who is primary
 
     def may_send(self, member: Member, request: Request, room: float = 1.0) -> bool:
@@ -386,7 +380,9 @@
         if member.suspect:
             group = request.group
             alone = request.cls.effect is not Effect.SAFE or not self.settings.second_copies
-            return self.due(member) and (alone or len(group.suspects) == len(group.members))
+            return self.due(member) and (alone or len(group.suspects) == len(group.order))
+        if self.now + self.queueing(member) > request.useful:
+            return False  # the answer would come too late to earn
         return len(member.out) + request.luck < member.limit * request.worthy * room
 
     def due(self, member: Member) -> bool:
@@ -402,13 +398,13 @@
 
     def open_to(self, member: Member, request: Request) -> bool:
         """Rules 3 and 4: not drained; and a cold one gets its warmth's share of own requests, by chance."""
-        if member.state is not State.UP and (member.told_draining or not self.rules.removal_not_binding):
+        if member.state is not State.UP:
             return False
         if member.cold_from + self.rules.warm_within <= self.now:
             return True
         share = COLD_SHARE * self.rules.overload_factor * self.warmth(member)
         if request.cls.freshness not in (Freshness.WRITE, Freshness.FRESH):
-            share /= sum(m.state is State.UP for m in request.group.members.values())
+            share /= sum(m.state is State.UP for m in request.group.order)
         return (request.luck + member.id * GOLDEN) % 1.0 < share
 
     def fresh_enough(self, member: Member, request: Request) -> bool:
@@ -531,19 +527,26 @@
 
     def busyness(self, member: Member) -> tuple[float, float]:
         """Own requests in flight for its size and warmth; on a tie the quicker, then the own zone."""
-        in_flight = len(member.out) / (member.size * self.warmth(member))
-        return in_flight, self.strain(member) + OWN_ZONE * (member.zone != self.settings.zone)
+        capacity = member.size * self.warmth(member)
+        return len(member.out) / capacity, self.strain(member) + OWN_ZONE * (
+            member.zone != self.settings.zone
+        )
 
     def strain(self, member: Member) -> float:
         """Mean latency as a share of the aim; its zone's stands in where own answers are few."""
-        return max(member.strain, self.zone_strain.get(member.zone, 0.0))
+        return max(member.strain, self.zone_strain.get(member.zone, 0.0), self.queueing(member) / self.aim)
+
+    def queueing(self, member: Member) -> float:
+        """What its reported load adds to an answer's time, by what such reports have meant here: a hint."""
+        recent = self.now - member.load_at < 2.0 * REST[0]
+        return member.load * self.load_cost[0] / self.load_cost[1] if recent else 0.0
 
     def scout(self, group: Group, request: Request) -> Member | None:
         """With no primary known one write at a time tries the members in id order, then pauses."""
         taken = group.scout != request.id and group.scout in self.requests
         if taken or self.now < group.scout_at or len(request.attempts) >= self.settings.most_attempts - 2:
             return None
-        for _, member in sorted(group.members.items()):
+        for member in sorted(group.order, key=lambda m: m.id):
             if member not in request.attempts and self.may_send(member, request):
                 group.scout = request.id
                 return member
@@ -581,8 +584,6 @@
             return True
         if cls.effect is Effect.UNSAFE or self.window_over(request):
             return False
-        if cls.scope is Scope.ZONE:
-            return all(tried.zone == member.zone for tried, _ in risky)
         return cls.scope is Scope.ALL or all(tried.group == member.group for tried, _ in risky)
 
     def window_over(self, request: Request) -> bool:
@@ -594,7 +595,7 @@
     def next_step(self, request: Request) -> None:
         """After a failed attempt: another one where rules, time and budget allow, else the final answer."""
         cls = request.cls
-        over = self.now - request.arrived >= cls.aim and cls.late_worth == 0
+        over = self.now >= request.useful
         over = over or len(request.attempts) >= self.settings.most_attempts
         over = over or (cls.effect is Effect.UNSAFE and bool(request.may_have_run))
         over = over or len(request.erred) > 1  # two members agree that the request itself is bad
@@ -660,9 +661,10 @@
         since = member.silent_from()
         for _, request in list(member.out.values()):
             self.hedge(request)
-        idle = min(member.idle, self.now - since)
-        if len(member.out) == 1 and idle < member.idle < self.idle_limit and member.idle < NEVER:
-            self.idle_limit = member.idle / 2.0
+        if len(member.out) == 1 and SILENCE * self.typical < member.idle < min(self.idle_limit, 1e9):
+            self.idle_lost += 1  # twice with no such send answered between: connections are dropped unseen
+            if self.idle_lost > 1:
+                self.idle_limit = member.idle / 2.0
         elif self.heard_at > since:
             self.distrust(member, "silent")
             return
@@ -700,9 +702,7 @@
         """A second copy of a safe read that waits too long, while the budget lasts."""
         if request.done or request.hedged or request.cls.effect is not Effect.SAFE or self.budget < 1.0:
             return
-        member, primary = self.pick(request, HEDGE_ROOM), request.group.primary
-        if member is None and primary not in (None, *request.attempts):
-            member = primary if self.may_send(primary, request, HEDGE_ROOM) else None
+        member = self.pick(request, HEDGE_ROOM)
         if member is not None and not member.suspect and self.may_resend(request, member):
             request.hedged = True
             self.budget -= 1.0
--- a/sedgepitch/wirehost.py
+++ b/sedgepitch/wirehost.py
@@ -76,7 +76,7 @@
         worth=raw.get("importance", 1.0),
         late_worth=raw.get("lateWorth", 0.0),
         effect=EFFECT[effect],
-        scope=api.Scope(scope) if scope in ("all", "zone", "cell") else api.Scope.CELL,
+        scope=api.Scope.ALL if scope == "all" else api.Scope.CELL,
         window=raw.get("windowS", 0.0),
         freshness=FRESHNESS[freshness],
         max_age=max_age,
@@ -105,7 +105,6 @@
             start_capacity=rules.get("startCapacity", 1.0),
             warm_within=rules.get("warmWithinS", 0.0),
             ask_within=rules.get("askWithinS", 0.0),
-            removal_not_binding=bool(rules.get("removalNotBinding", False)),
         ),
         checks=CHECKS.get(specifics.get("behind"), api.Checks.NONE),
         marks=MARKS.get(specifics.get("sessionMarks"), api.Marks.CARRIED),
@@ -164,6 +163,7 @@
         return api.Report(
             position=None if position is None else self.zero + position,
             primary=None if primary is None else primary >= 0.5,
+            load=raw.get("inflight", raw.get("queue")),
         )
 
 
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -431,3 +431,21 @@
     assert len(finals(empty.log, request)) == 1
     unknown = empty.feed(api.Arrived(77, "any", 9, 0.5))
     assert unknown == [api.Refuse(77, 0.0)]
+
+
+def test_reported_load_is_priced_by_what_it_has_meant_in_latency():
+    rig = Rig()
+    for member, load in ((2, 2.0), (3, 40.0)):
+        for _ in range(20):
+            request, actions = rig.ask("any")
+            used = sends(actions, request)[0]
+            report = api.Report(rig.now, used == 1, load if used == member else 2.0)
+            took = 0.02 + 0.01 * report.load
+            rig.feed(api.Finished(request, 0, used, Result.OK, took, True, primary=used == 1, report=report))
+            rig.run(0.05)
+    rig.feed(api.Probed(3, Result.OK, 0.001, api.Report(rig.now, False, 60.0)))
+    rig.feed(api.Probed(2, Result.OK, 0.001, api.Report(rig.now, False, 1.0)))
+    assert rig.router.queueing(rig.router.members[3]) > 0.2
+    assert all(sends(rig.ask("any")[1]) != [3] for _ in range(3))
+    rig.run(2.0)  # a report is a hint while it is recent
+    assert rig.router.queueing(rig.router.members[3]) == 0.0
