--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -35,7 +35,7 @@
 BACK_OFF, GROW = 0.75, 0.025  # a late answer cuts the limit to this share; one in time lets it grow by this
 GROW_LEAST = 0.04  # growth at least, so that a limit below one, which is a chance, recovers in few answers
 LEAST_WORTHY = 0.7  # share of the limit that the class of least worth per work may fill
-SPARE = 0.5  # mean latency, as a share of the aim, beyond which a primary keeps its room for writes
+SPARE = 0.5  # mean latency, as a share of the aim, beyond which limits fall and a primary bears no reads
 WAIT = 0.15  # share of its aim that a read may wait for room before it is refused
 HEDGE_ROOM = 0.4  # share of a member's room that second copies may use: they must not feed an overload
 OWN_ZONE = 0.15  # share of the aim by which a member elsewhere must be quicker to win a tie
@@ -296,7 +296,7 @@
         share = 1.5 if result is Result.FULL else min(1.5, event.elapsed / cls.aim)
         around = self.zone_strain.get(member.zone, 0.0)
         member.strain += gain * (share - member.strain)
-        self.zone_strain[member.zone] = around + 0.1 * (share - around)
+        self.zone_strain[member.zone] = around + 0.2 * (share - around)
         if late and (strained or result is Result.FULL) and now - member.limit_at > self.work[cls.name]:
             member.limit = max(LIMIT[0], min(member.limit, len(member.out) + 1.0) * BACK_OFF)
             member.limit_at = now
@@ -374,7 +374,10 @@
     # Who may be sent to, who is recent enough, who is primary
 
     def may_send(self, member: Member, request: Request, room: float = 1.0) -> bool:
-        """Drain, cold start, health and own load, in that order; a limit below one is a chance."""
+        """Drain, cold start, health and load, in that order; a limit below one is a chance.
+
+        Where own answers of the member are old, the mean latency of its zone eases its limit off.
+        """
         if not self.open_to(member, request):
             return False
         if member.suspect:
@@ -383,7 +386,9 @@
             return self.due(member) and (alone or len(group.suspects) == len(group.order))
         if self.now + self.queueing(member) > request.useful:
             return False  # the answer would come too late to earn
-        return len(member.out) + request.luck < member.limit * request.worthy * room
+        around = self.zone_strain.get(member.zone, 0.0) if self.now - member.last_answer > self.aim else 0.0
+        ease = max(LIMIT[0], min(1.0, (1.0 - around) / (1.0 - SPARE)))
+        return len(member.out) + request.luck < member.limit * request.worthy * room * ease
 
     def due(self, member: Member) -> bool:
         """Its rest is over and it may have a trial; a dead one is probed first, unless probes always fail."""
@@ -473,9 +478,8 @@
             return main
         if (member := self.pick(request)) is not None:
             return member
-        if self.ask_first(request):
-            return None
-        return main if main is not None and self.may_send(main, request) else None
+        wait = self.ask_first(request) or main is None or not self.may_send(main, request)
+        return None if wait else main
 
     def ask_first(self, request: Request) -> bool:
         """Before the primary bears a read: ask a likely replica for its position, twice at most."""
@@ -710,7 +714,7 @@
 
     def place_waiting(self, group: Group) -> None:
         """Place what waits, the most worth per work first; give up what has waited too long."""
-        waiting, group.waiting = group.waiting, []
-        for request in sorted(waiting, key=lambda r: -r.worthy):
+        waiting, group.waiting = sorted(group.waiting, key=lambda r: -r.worthy), []
+        for request in waiting:
             if not request.done and not request.out:
                 self.place(request)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -449,3 +449,15 @@
     assert all(sends(rig.ask("any")[1]) != [3] for _ in range(3))
     rig.run(2.0)  # a report is a hint while it is recent
     assert rig.router.queueing(rig.router.members[3]) == 0.0
+
+
+def test_a_strained_zone_eases_off_the_limits_of_members_not_heard_of_lately():
+    # Incident ie07cc6: 330 drivers with room for two each flooded seven members from the start.
+    sent = {}
+    for strain in (0.2, 1.0):
+        sent[strain] = 0
+        for seed in range(100):
+            rig = Rig(seed=seed)
+            rig.router.zone_strain["a"] = strain
+            sent[strain] += len(sends(rig.ask("any", ttl=0.3)[1]))
+    assert sent[1.0] < 0.5 * sent[0.2]
