No read on the word of the late list against the member's own word

Such a primary is hearsay until it says so itself: writes may try it (a replica turns them away untouched), reads do not. May hurt for the moment between the list and the first write's answer.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -56,7 +56,7 @@
     def __init__(self, listing: api.Listing, start_limit: float) -> None:
         self.id, self.group, self.zone = listing.member, listing.group, listing.zone
         self.size, self.state, self.started = listing.size, listing.state, listing.started
-        self.listed_primary = False
+        self.listed_primary = self.hearsay = False  # named primary by the late list against its own word
         self.position, self.lag, self.role_at = -NEVER, NEVER, -NEVER
         self.out: dict[tuple[int, int], tuple[float, Request]] = {}
         self.last_answer = self.watched = self.used_at = -NEVER
@@ -109,7 +109,7 @@
         """Take evidence of a role, the newest counts; true where it made a new primary known."""
         if at < member.role_at:
             return False
-        member.role_at = at
+        member.role_at, member.hearsay = at, False
         if not primary and self.primary is member:
             self.primary = None
         elif primary and self.primary is not member and (not self.primary or at >= self.primary.role_at):
@@ -230,7 +230,9 @@
         if listing.primary and not member.listed_primary:
             held = group.primary
             if held is None or held.suspect or held.state is not State.UP:
+                denied = member.role_at > -NEVER
                 group.told_role(member, True, max(member.role_at, held.role_at if held else -NEVER))
+                member.hearsay = denied
         member.listed_primary = listing.primary
 
     # Answers and reports
@@ -364,8 +366,6 @@
         elif member.suspect == "down":
             member.dead = True
             self.distrust(member, "down")
-        if event.result is not Result.OK:
-            member.lag = NEVER
         if group.waiting:
             self.place_waiting(group)
         if group.suspects and group.last is not None:
@@ -374,10 +374,7 @@
     # Who may be sent to, who is recent enough, who is primary
 
     def may_send(self, member: Member, request: Request, room: float = 1.0) -> bool:
-        """Drain, cold start, health and load, in that order; a limit below one is a chance.
-
-        Where own answers of the member are old, the mean latency of its zone eases its limit off.
-        """
+        """Drain, cold start, health and load; a limit below one is a chance. A zone speaks if answers are old."""
         if not self.open_to(member, request):
             return False
         if member.suspect:
@@ -466,14 +463,15 @@
         if cls.freshness is Freshness.WRITE and primary is None:
             return self.scout(group, request)
         if cls.freshness in (Freshness.WRITE, Freshness.FRESH):
-            if primary is None or self.may_send(primary, request):
+            doubtful = cls.freshness is Freshness.FRESH and primary is not None and primary.hearsay
+            if primary is None or (not doubtful and self.may_send(primary, request)):
                 return primary
             lost = cls.freshness is Freshness.WRITE and primary.suspect
             return self.scout(group, request) if lost else None
         on_replicas = group.side_replicas != (self.random.random() < EXPLORE)
         on_replicas = on_replicas or cls.freshness is Freshness.SESSION
-        spare = primary is not None and primary not in request.attempts and self.strain(primary) <= SPARE
-        main = primary if spare else None
+        main = None if primary is None or primary in request.attempts or primary.hearsay else primary
+        main = main if main is not None and self.strain(main) <= SPARE else None
         if not on_replicas and main is not None and self.may_send(main, request, LEAST_WORTHY):
             return main
         if (member := self.pick(request)) is not None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -273,3 +273,18 @@
     rig.end(request, 0, 1, Result.OK, primary=True, position=rig.now)
     read, used = placed(rig, "session", session="s")
     assert used == [1]
+
+
+def test_a_late_list_is_no_reason_to_read_from_a_member_that_said_it_is_a_replica():
+    # Incident ie80671: a demoted primary answered as a replica; the late list then named it primary.
+    rig = Rig(members=(listing(1), listing(2), listing(3)))
+    rig.heard(2, 0.0, primary=False)
+    rig.feed(api.Members((listing(2, primary=True),), complete=False))
+    rig.run(3.0)
+    request, actions = rig.ask("fresh")
+    assert sends(actions, request) == []
+    write, actions = rig.ask("write")
+    assert sends(actions, write) == [2]
+    rig.end(write, 0, 2, Result.OK, primary=True)
+    request, actions = rig.ask("fresh")
+    assert sends(actions, request) == [2]
