--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -374,7 +374,7 @@
     # Who may be sent to, who is recent enough, who is primary
 
     def may_send(self, member: Member, request: Request, room: float = 1.0) -> bool:
-        """Drain, cold start, health and load; a limit below one is a chance. A zone speaks if answers are old."""
+        """Drain, cold start, health and load; limits below one are chances, eased off by zone."""
         if not self.open_to(member, request):
             return False
         if member.suspect:
