--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -216,7 +216,7 @@
         group = self.groups.setdefault(member.group if member else listing.group, Group())
         if member is None:
             member = self.members[listing.member] = Member(
-                listing, max(2.0, LIMIT[1] / max(1, self.settings.drivers))
+                listing, max(1.0, LIMIT[1] / max(1, self.settings.drivers))
             )
             member.turn = self.random.random() ** (1.0 / member.size)  # the larger, the likelier early
             group.order.append(member)
