A running driver: MongoDB wire front, engine, positions, stand-in members, command line

Change: `sedgepitch serve` carries MongoDB clients (OP_MSG, OP_COMPRESSED, first hello by OP_QUERY) through `policy.Router` to members and back. A ledger owes each request one answer; the engine gathers the events of a reactor turn before timers are judged; pools keep one exchange a connection. Optimes become positions on the driver's clock by marks made with the primary (`decide/positions.py`), without any wall clock. `sedgepitch standins` plays a fleet with a log, apply delay, elections, retryable-write keys, cold starts and faults on a control socket. Settings are YAML checked by pydantic, a mistake names file, line and key.

The module, interface and adapter are untouched.

--- /dev/null
+++ b/sedgepitch/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The five rules, checked from what members and clients recorded. Shares nothing with the driver."""
--- /dev/null
+++ b/sedgepitch/cli/daemon.py
@@ -0,0 +1,197 @@
+"""One driver, put together from settings: front, engine, module, members, list, log and metrics."""
+
+from __future__ import annotations
+
+import os
+import random
+import socket
+from collections.abc import Callable
+from fnmatch import fnmatchcase
+from typing import Any
+
+import structlog
+
+from sedgepitch import interface as api
+from sedgepitch.config.models import Settings
+from sedgepitch.core.clock import ReactorClock
+from sedgepitch.core.engine import Engine
+from sedgepitch.core.ledger import Account
+from sedgepitch.core.pool import PoolLimits
+from sedgepitch.core.types import Answer, Verdict
+from sedgepitch.decide.cursors import CursorTable
+from sedgepitch.fleet.control import Addresses, ControlList
+from sedgepitch.fronts.mongo.client import ClientFactory, Context, close_at_members
+from sedgepitch.fronts.mongo.commands import Request
+from sedgepitch.fronts.mongo.member import MongoMembers
+from sedgepitch.observe.metrics import Metrics
+from sedgepitch.policy import Router
+
+SWEEP = 5.0  # s between looks at idle cursors
+
+
+def group_finder(settings: Settings) -> Callable[[Request], int | None]:
+    """Return a function from a request to its group: by shard value first, then by name space."""
+    shards = {str(value): group.id for group in settings.groups for value in group.shards}
+    patterns = [(g.id, g.database, g.collection) for g in settings.groups if not g.shards]
+
+    def find(request: Request) -> int | None:
+        if request.shard is not None and str(request.shard) in shards:
+            return shards[str(request.shard)]
+        for number, database, collection in patterns:
+            if fnmatchcase(request.database, database) and fnmatchcase(request.collection, collection):
+                return number
+        return None
+
+    return find
+
+
+class Driver:
+    """One driver on a reactor. `start` opens the listener, `stop` ends in order and calls back when done."""
+
+    def __init__(self, reactor: Any, settings: Settings, share_port: bool = False) -> None:
+        self.reactor, self.settings, self.share_port = reactor, settings, share_port
+        self.clock = ReactorClock(reactor)
+        self.log = structlog.get_logger().bind(driver=settings.driver.name)
+        self.metrics = Metrics()
+        limits, driver = settings.limits, settings.driver
+        seed = driver.seed if driver.seed is not None else random.SystemRandom().getrandbits(32)
+        self.members = MongoMembers(
+            reactor,
+            self.clock,
+            {m.id: m.address for m in settings.members if m.address[1]},
+            driver.name,
+            PoolLimits(limits.member_connections, limits.connect_within, limits.member_idle),
+            limits.probe_within,
+            mark_age=self._mark_age(),
+        )
+        self.list: ControlList | None = None
+        if settings.follow is not None:
+            self.list = ControlList(
+                reactor,
+                self.clock,
+                settings.follow.control,
+                driver.name,
+                self._listed,
+                self._list_lost,
+                self._note,
+            )
+        self.engine = Engine(
+            Router(settings.module_settings(), seed),
+            self.members,
+            self.clock,
+            most_in_flight=limits.in_flight,
+            watch=self.list.watch if self.list else None,
+            log=lambda text: self.log.info("module", text=text),
+            observe=self._answered,
+        )
+        self.metrics.watch(self.engine)
+        self.context = Context(
+            engine=self.engine,
+            members=self.members,
+            clock=self.clock,
+            classifier=settings.classifier(),
+            cursors=CursorTable(limits.cursors, limits.cursor_idle, seed),
+            group_of=group_finder(settings),
+            answer_margin=limits.answer_margin,
+            drain_grace=settings.rules.drain_grace,
+            shard_field=tuple(p.encode() for p in settings.shard_field.split(".") if p),
+            most_frame=limits.frame,
+            most_connections=limits.connections,
+            log=self._note,
+            counted=lambda kind: self.metrics.input_errors.labels(kind).inc(),
+        )
+        self.ports: list[Any] = []
+
+    def _mark_age(self) -> float:
+        """A mark serves until it is a quarter of the tightest bound old."""
+        bounds = [c.max_age for c in self.settings.classes if c.freshness is api.Freshness.BOUNDED]
+        return min(bounds, default=min(c.aim for c in self.settings.classes)) / 4.0
+
+    def start(self) -> tuple[str, int]:
+        """Open the listener; returns its address. Raises CannotListenError."""
+        listings = tuple(x for x in self.settings.listings() if x.member in self.members.addresses)
+        remembered = self.list is not None
+        self.engine.list_changed(api.Members(listings, complete=True, remembered=remembered))
+        factory = ClientFactory(self.context)
+        host, port = self.settings.listen
+        if self.share_port:
+            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            listener.bind((host, port))
+            listener.listen(1024)
+            listener.setblocking(False)
+            opened = self.reactor.adoptStreamPort(listener.fileno(), socket.AF_INET, factory)
+            listener.close()
+        else:
+            opened = self.reactor.listenTCP(port, factory, interface=host, backlog=1024)
+        self.ports.append(opened)
+        address = opened.getHost()
+        if self.settings.metrics is not None:
+            from prometheus_client.twisted import MetricsResource
+            from twisted.web.resource import Resource
+            from twisted.web.server import Site
+
+            root: Any = Resource()
+            root.putChild(b"metrics", MetricsResource(self.metrics.registry))
+            host, port = self.settings.metrics
+            self.ports.append(self.reactor.listenTCP(port, Site(root), interface=host))
+        self.clock.call_later(SWEEP, self._sweep)
+        self.log.info("listening", address=f"{address.host}:{address.port}", pid=os.getpid())
+        return address.host, address.port
+
+    def stop(self, done: Callable[[], None]) -> None:
+        """End in order: no new connections or requests, what is owed answered, then all closed."""
+        self.engine.stopping = True
+        for port in self.ports:
+            port.stopListening()
+        self.ports = []
+        end = self.clock.now() + self.settings.limits.stop_within
+
+        def look() -> None:
+            if self.engine.ledger.owed and self.clock.now() < end:
+                self.clock.call_later(0.02, look)
+                return
+            if self.list is not None:
+                self.list.stop()
+            for connection in list(self.context.connections):
+                connection.transport.loseConnection()
+            self.members.close()
+            self.log.info("stopped", owed=self.engine.ledger.owed)
+            self.clock.call_later(0.05, done)
+
+        look()
+
+    def _listed(self, listings: tuple[api.Listing, ...], complete: bool, addresses: Addresses) -> None:
+        self.members.addresses.update(addresses)
+        known = tuple(x for x in listings if x.member in self.members.addresses)
+        self.engine.list_changed(api.Members(known, complete=complete))
+        gone = {m for m, link in self.members.links.items() if m in self.engine.drained}
+        if gone:
+            self.log.info("list.drained", members=sorted(gone))
+
+    def _list_lost(self) -> None:
+        self.log.warning("list.lost")
+        self.engine.feed(api.ListFailed())
+
+    def _note(self, event: str, **fields: Any) -> None:
+        self.log.info(event, **fields)
+
+    def _answered(self, account: Account, answer: Answer, elapsed: float) -> None:
+        self.metrics.answered(account, answer, elapsed)
+        if answer.verdict is not Verdict.SERVED:
+            self.log.info(
+                answer.verdict.value,
+                request=account.id,
+                class_name=account.command.class_name,
+                group=account.command.group,
+                attempts=account.members,
+                after_ms=round(elapsed * 1000.0, 1),
+                come_back_ms=round(answer.come_back * 1000.0),
+                why=answer.why,
+            )
+
+    def _sweep(self) -> None:
+        now = self.clock.now()
+        close_at_members(self.context, self.context.cursors.expire(now))
+        self.clock.call_later(SWEEP, self._sweep)
--- /dev/null
+++ b/sedgepitch/cli/main.py
@@ -0,0 +1,207 @@
+"""The command line: `sedgepitch serve`, `standins`, `badday` and `config`."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from importlib.resources import files
+from pathlib import Path
+from types import FrameType
+from typing import Any
+
+import click
+
+from sedgepitch.config.load import SettingsError, load
+from sedgepitch.config.models import Settings
+
+
+def _load(path: str) -> Settings:
+    try:
+        return load(path)
+    except SettingsError as error:
+        raise click.ClickException(str(error)) from None
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option("0.2.0", prog_name="sedgepitch")
+def main() -> None:
+    """A database proxy that splits reads and writes across a primary and its replicas."""
+
+
+CONFIG = click.option(
+    "--config", "path", required=True, type=click.Path(dir_okay=False), help="Settings (YAML)."
+)
+
+
+@main.command()
+@CONFIG
+@click.option("--workers", default=1, show_default=True, type=click.IntRange(1, 64), help="Processes.")
+@click.option("--worker", default=0, hidden=True, type=int)
+def serve(path: str, workers: int, worker: int) -> None:
+    """Run a driver. Several workers share the port and nothing else; each is a driver of its own."""
+    settings = _load(path)
+    if workers > 1 and not worker:
+        sys.exit(_supervise(path, workers))
+    from sedgepitch.cli.reactors import install
+    from sedgepitch.observe import log
+
+    log.set_up(settings.log.level, settings.log.format, settings.log.lines_per_second)
+    reactor = install(settings.driver.reactor)
+    if worker:
+        name = f"{settings.driver.name}/{worker}"
+        told = settings.module.model_copy(update={"drivers": settings.module.drivers * workers})
+        driver_part = settings.driver.model_copy(update={"name": name})
+        changes: dict[str, Any] = {"driver": driver_part, "module": told}
+        if settings.metrics is not None and settings.metrics[1]:
+            changes["metrics"] = (settings.metrics[0], settings.metrics[1] + worker - 1)
+        settings = settings.model_copy(update=changes)
+    from twisted.internet.error import CannotListenError
+
+    from sedgepitch.cli.daemon import Driver
+
+    try:
+        driver = Driver(reactor, settings, share_port=bool(worker))
+        host, port = driver.start()
+    except CannotListenError as error:
+        raise click.ClickException(f"cannot listen on {error.interface}:{error.port}") from None
+    except OSError as error:
+        raise click.ClickException(f"cannot listen: {error.strerror}") from None
+    click.echo(f"ready {host}:{port}")
+    _run(reactor, driver.stop)
+
+
+def _run(reactor: Any, stop: Any) -> None:
+    """Run until a signal, then stop in order."""
+    stopping: list[int] = []
+
+    def end(number: int, frame: FrameType | None) -> None:
+        if stopping:
+            reactor.callFromThread(reactor.stop)
+            return
+        stopping.append(number)
+        reactor.callFromThread(stop, lambda: reactor.stop() if reactor.running else None)
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
+    reactor.run(installSignalHandlers=False)
+
+
+def _supervise(path: str, workers: int) -> int:
+    """Run the workers; one that dies is started again, a second later each time, and all end together."""
+    ending = False
+    running: dict[int, subprocess.Popen[bytes]] = {}
+
+    def start(number: int) -> None:
+        arguments = ["serve", "--config", path, "--workers", str(workers), "--worker", str(number)]
+        running[number] = subprocess.Popen([sys.executable, "-m", "sedgepitch", *arguments])
+
+    def end(number: int, frame: FrameType | None) -> None:
+        nonlocal ending
+        ending = True
+        for process in running.values():
+            process.terminate()
+
+    signal.signal(signal.SIGTERM, end)
+    signal.signal(signal.SIGINT, end)
+    for number in range(1, workers + 1):
+        start(number)
+    pause = 1.0
+    while running:
+        for number, process in list(running.items()):
+            code = process.poll()
+            if code is None:
+                continue
+            del running[number]
+            if not ending:
+                click.echo(f"worker {number} ended with {code}; starting it again", err=True)
+                time.sleep(pause)
+                pause = min(pause * 2.0, 30.0)
+                if not ending:
+                    start(number)
+        time.sleep(0.05)
+    return 0
+
+
+@main.command()
+@CONFIG
+def standins(path: str) -> None:
+    """Run the fleet of stand-in members that the settings describe."""
+    settings = _load(path)
+    if settings.standins is None:
+        raise click.ClickException(f"{path}: there is no part 'standins'")
+    from sedgepitch.cli.reactors import install
+
+    reactor = install(settings.driver.reactor)
+    from twisted.internet.error import CannotListenError
+
+    from sedgepitch.standins.fleet import Fleet
+
+    fleet = Fleet(reactor, time.monotonic, settings.standins, list(settings.members))
+    try:
+        fleet.start()
+    except CannotListenError as error:
+        raise click.ClickException(f"cannot listen on {error.interface}:{error.port}") from None
+    control = fleet.port.getHost()
+    click.echo(f"ready {control.host}:{control.port}")
+
+    def stop(done: Any) -> None:
+        fleet.stop()
+        reactor.callLater(0.05, done)
+
+    fleet.stopped = lambda: reactor.callLater(0.05, reactor.stop) if reactor.running else None
+    _run(reactor, stop)
+
+
+@main.command()
+@click.option("--seed", default=1, show_default=True, type=int, help="Of traffic and troubles.")
+@click.option("--length", default=40.0, show_default=True, type=click.FloatRange(2, 600), help="Seconds.")
+@click.option("--script", type=click.Path(exists=True, dir_okay=False), help="Troubles (YAML).")
+@click.option("--json", "json_path", type=click.Path(dir_okay=False), help="Write the result there.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep records and logs in this directory.")
+def badday(seed: int, length: float, script: str | None, json_path: str | None, keep: str | None) -> None:
+    """Play a bad day on loopback sockets and check the five rules from the recorded traffic."""
+    from sedgepitch.load.badday import BadDay, DayError, table
+
+    try:
+        day = BadDay(seed=seed, length=length, script=script, keep=keep)
+        result = day.run(progress=sys.stderr.isatty())
+    except DayError as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(table(result))
+    if json_path:
+        Path(json_path).write_text(json.dumps(result, indent=1), encoding="utf-8")
+    sys.exit(1 if any(rule["broken"] for rule in result["rules"]) else 0)
+
+
+@main.group()
+def config() -> None:
+    """Look at settings."""
+
+
+@config.command("check")
+@click.argument("path", type=click.Path(dir_okay=False))
+def config_check(path: str) -> None:
+    """Check a file of settings."""
+    settings = _load(path)
+    click.echo(f"{path}: good: {len(settings.classes)} classes, {len(settings.members)} members")
+
+
+@config.command("schema")
+def config_schema() -> None:
+    """Print the settings' JSON schema."""
+    click.echo(json.dumps(Settings.model_json_schema(), indent=2))
+
+
+@config.command("example")
+def config_example() -> None:
+    """Print settings that `standins` and `serve` both run on as they are."""
+    click.echo(files("sedgepitch.config").joinpath("example.yaml").read_text(encoding="utf-8"), nl=False)
+
+
+if __name__ == "__main__":
+    os.environ.setdefault("PYTHONUNBUFFERED", "1")
+    main()
--- /dev/null
+++ b/sedgepitch/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings: YAML in, checked models out."""
--- /dev/null
+++ b/sedgepitch/config/models.py
@@ -0,0 +1,249 @@
+"""The settings' models. What each key means stands in docs/operating.md; nothing here decides a route."""
+
+from __future__ import annotations
+
+from typing import Any, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from sedgepitch import interface as api
+from sedgepitch.config.units import Address, Bytes, Seconds
+from sedgepitch.decide.classify import Classifier, Rule, variants
+
+
+class Model(BaseModel):
+    """Keys that nobody knows are mistakes."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class MatchModel(Model):
+    """What a command must look like: shell patterns, all of which must match."""
+
+    database: str = "*"
+    collection: str = "*"
+    command: str = "*"
+    comment: str = "*"
+    read_preference: str = "*"
+    read_concern: str = "*"
+    app_name: str = "*"
+
+
+class ClassModel(Model):
+    """One class of requests."""
+
+    name: str = Field(min_length=1, pattern=r"^[^/]+$")
+    match: list[MatchModel] = [MatchModel()]
+    freshness: api.Freshness
+    max_age: Seconds = 0.0
+    effect: api.Effect = api.Effect.SAFE
+    scope: api.Scope = api.Scope.CELL
+    window: Seconds = 0.0
+    aim: Seconds = 0.2
+    deadline: Seconds = 1.0
+    worth: float = Field(1.0, gt=0)
+    late_worth: float = Field(0.0, ge=0, le=1)
+
+    @model_validator(mode="after")
+    def _fits(self) -> ClassModel:
+        if self.freshness is api.Freshness.BOUNDED and self.max_age <= 0:
+            raise ValueError("freshness 'bounded' needs max_age")
+        if self.freshness is api.Freshness.WRITE and self.effect is api.Effect.SAFE:
+            raise ValueError("a class of writes is 'keyed' or 'unsafe', not 'safe'")
+        if self.effect is api.Effect.KEYED and self.window <= 0:
+            raise ValueError("effect 'keyed' needs the window in which members drop repeats")
+        if self.aim <= 0 or self.deadline <= 0:
+            raise ValueError("aim and deadline must be above 0")
+        return self
+
+    def build(self) -> api.RequestClass:
+        """Return the module's type."""
+        fields = {name: getattr(self, name) for name in api.RequestClass.__dataclass_fields__}
+        return api.RequestClass(**fields)
+
+
+class GroupModel(Model):
+    """One group and what it holds: name spaces by pattern, or values of the shard field."""
+
+    id: int
+    database: str = "*"
+    collection: str = "*"
+    shards: list[str | int] = []
+
+
+class MemberModel(Model):
+    """One member of the static list."""
+
+    id: int
+    address: Address
+    group: int = 0
+    zone: str = ""
+    primary: bool = False
+    size: float = Field(1.0, gt=0)
+
+
+class ListModel(Model):
+    """Where changes of the member list come from: the fleet's control socket."""
+
+    control: Address
+
+
+class RulesModel(Model):
+    """The figures of the binding rules."""
+
+    answer_slack: Seconds = 0.008
+    drain_grace: Seconds = 0.5
+    overload_factor: float = Field(2.5, gt=0)
+    overload_time: Seconds = 1.0
+    start_capacity: float = Field(0.2, gt=0, le=1)
+    warm_within: Seconds = 10.0
+    ask_within: Seconds = 10.0
+
+
+class ModuleModel(Model):
+    """What the module is told of the installation beside classes and rules."""
+
+    tick: Seconds = 0.002
+    drivers: int = Field(1, ge=1)
+    checks: api.Checks = api.Checks.NONE
+    marks: api.Marks = api.Marks.CARRIED
+    patience: Seconds = 0.0
+    probes: bool = True
+    reports_in_answers: bool = True
+    reports_position: bool = True
+    list_names_primary: bool = True
+    most_attempts: int = Field(6, ge=1)
+    second_copies: bool = True
+    cancel: bool = True
+    come_back: bool = True
+    max_come_back: Seconds = 2.0
+
+
+class LimitsModel(Model):
+    """Bounds on what clients and members can make grow."""
+
+    connections: int = Field(20_000, ge=1)
+    in_flight: int = Field(10_000, ge=1)
+    frame: Bytes = 48_000_000
+    cursors: int = Field(10_000, ge=1)
+    cursor_idle: Seconds = 600.0
+    member_connections: int = Field(64, ge=1)
+    member_idle: Seconds = 60.0
+    connect_within: Seconds = 0.5
+    probe_within: Seconds = 0.25
+    answer_margin: Seconds = 0.01
+    stop_within: Seconds = 5.0
+
+
+class LogModel(Model):
+    """The log."""
+
+    level: Literal["debug", "info", "warning", "error"] = "info"
+    format: Literal["console", "json"] = "console"
+    lines_per_second: int = Field(200, ge=1)
+
+
+class DriverModel(Model):
+    """Who this driver is."""
+
+    name: str = "sedgepitch"
+    zone: str = ""
+    seed: int | None = None
+    reactor: Literal["asyncio", "uvloop", "epoll"] = "uvloop"
+
+
+class WorkModel(Model):
+    """Service times of stand-ins at one core, drawn evenly between two figures."""
+
+    least: Seconds = 0.002
+    most: Seconds = 0.004
+
+
+class StandinsModel(Model):
+    """The fleet of stand-ins: one process, a port a member, and a control socket."""
+
+    control: Address = ("127.0.0.1", 27200)
+    seed: int = 1
+    cores: int = Field(2, ge=1)
+    waiting_room: int = Field(64, ge=0)
+    connections: int = Field(256, ge=1)
+    read_work: WorkModel = WorkModel()
+    write_work: WorkModel = WorkModel()
+    replication_delay: Seconds = 0.006
+    apply_work: Seconds = 0.0005
+    election_after: Seconds = 1.0
+    election_takes: Seconds = 0.5
+    handover: Seconds = 0.2
+    list_delay: Seconds = 0.3
+    key_window: Seconds = 1.2
+    start_capacity: float = Field(0.2, gt=0, le=1)
+    warm_within: Seconds = 5.0
+    overload_factor: float = Field(2.5, gt=0)
+    overload_time: Seconds = 1.0
+    record: str = ""
+
+
+class Settings(Model):
+    """All of one file."""
+
+    driver: DriverModel = DriverModel()
+    listen: Address = ("127.0.0.1", 27117)
+    metrics: Address | None = None
+    log: LogModel = LogModel()
+    classes: list[ClassModel] = Field(min_length=1)
+    shard_field: str = ""
+    groups: list[GroupModel] = [GroupModel(id=0)]
+    members: list[MemberModel] = Field(min_length=1)
+    follow: ListModel | None = None
+    rules: RulesModel = RulesModel()
+    module: ModuleModel = ModuleModel()
+    limits: LimitsModel = LimitsModel()
+    standins: StandinsModel | None = None
+
+    @model_validator(mode="after")
+    def _hangs_together(self) -> Settings:
+        groups = [g.id for g in self.groups]
+        named: tuple[tuple[str, list[object]], ...] = (
+            ("classes", [c.name for c in self.classes]),
+            ("groups", [*groups]),
+            ("members", [m.id for m in self.members]),
+        )
+        for kind, values in named:
+            twice = {v for v in values if values.count(v) > 1}
+            if twice:
+                raise ValueError(f"{kind}: {sorted(map(str, twice))[0]} stands there twice")
+        for member in self.members:
+            if member.group not in groups:
+                raise ValueError(
+                    f"members: member {member.id} is of group {member.group}, which is not there"
+                )
+        if any(g.shards for g in self.groups) and not self.shard_field:
+            raise ValueError("groups: shards need shard_field, the path of the value that tells the shard")
+        return self
+
+    def request_classes(self) -> tuple[api.RequestClass, ...]:
+        """Return the classes as stated."""
+        return tuple(c.build() for c in self.classes)
+
+    def classifier(self) -> Classifier:
+        """Return the compiled matches."""
+        rules = [Rule(c.name, **m.model_dump()) for c in self.classes for m in c.match]
+        return Classifier(self.request_classes(), rules)
+
+    def module_settings(self) -> api.Settings:
+        """Return all that the module is told."""
+        told: dict[str, Any] = {name: getattr(self.module, name) for name in ModuleModel.model_fields}
+        rules = {name: getattr(self.rules, name) for name in RulesModel.model_fields}
+        return api.Settings(
+            classes=variants(self.request_classes()),
+            zone=self.driver.zone,
+            rules=api.Rules(**rules),
+            subscribe=self.follow is not None,
+            **told,
+        )
+
+    def listings(self) -> tuple[api.Listing, ...]:
+        """Return the static member list."""
+        return tuple(
+            api.Listing(m.id, m.group, api.State.UP, m.zone, m.primary, m.size) for m in self.members
+        )
--- /dev/null
+++ b/sedgepitch/core/ledger.py
@@ -0,0 +1,109 @@
+"""Who is owed an answer. Each account is opened once and closed once; that is the whole of rule 1.
+
+Rule of this file: an account is closed by `settle` or by `leave`, whichever is first, and the second call is
+an error that is counted and never reaches the client. Bytes of attempts that lost go nowhere, since only the
+account knows the client's callback, and gives it up when it closes.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from sedgepitch.core.types import Answer, Answered, Command, Exchange
+
+
+class Account:
+    """One request that is owed an answer, and its attempts under way."""
+
+    __slots__ = (
+        "answered",
+        "attempts",
+        "command",
+        "deadline",
+        "id",
+        "last",
+        "members",
+        "opened",
+        "out",
+        "timer",
+    )
+
+    def __init__(self, number: int, command: Command, answered: Answered, now: float) -> None:
+        self.id, self.command, self.opened = number, command, now
+        self.answered: Answered | None = answered
+        self.deadline = now + command.time_left
+        self.attempts = 0
+        self.out: dict[int, tuple[int, float, Exchange]] = {}  # attempt -> member, sent, exchange
+        self.members: list[int] = []
+        self.last = ""  # how the last attempt ended, for the log
+        self.timer: Any = None
+
+    @property
+    def open(self) -> bool:
+        """Whether an answer is owed."""
+        return self.answered is not None
+
+
+class Ledger:
+    """All accounts. Those closed stay while attempts are under way, so that their ends are still heard.
+
+    They also stay until the module has seen what closed them, so that a send decided on before is told as
+    not made.
+    """
+
+    def __init__(self) -> None:
+        self.accounts: dict[int, Account] = {}
+        self.owed = 0
+        self.opened = self.settled = self.left = 0
+        self.closed: list[Account] = []  # since the last sweep
+        self.twice = 0  # answers to what was closed already; above 0 is a defect
+        self._next = 0
+
+    def open(self, command: Command, answered: Answered, now: float) -> Account:
+        """Owe an answer from here on."""
+        self._next += 1
+        account = Account(self._next, command, answered, now)
+        self.accounts[account.id] = account
+        self.owed += 1
+        self.opened += 1
+        return account
+
+    def settle(self, account: Account, answer: Answer) -> bool:
+        """Give the final answer; returns whether it was still owed."""
+        answered = account.answered
+        if answered is None:
+            self.twice += 1
+            return False
+        self._close(account)
+        self.settled += 1
+        answered(answer)
+        return True
+
+    def leave(self, account: Account) -> bool:
+        """Close the account of a client that has left; returns whether it was open."""
+        if account.answered is None:
+            return False
+        self._close(account)
+        self.left += 1
+        return True
+
+    def sweep(self) -> None:
+        """Drop the closed accounts that have no attempt under way, once the module has been told."""
+        closed, self.closed = self.closed, []
+        for account in closed:
+            if account.out or self.accounts.pop(account.id, None) is None:
+                continue
+            if account.timer is not None:
+                account.timer.cancel()
+                account.timer = None
+
+    def ended(self, account: Account, attempt: int) -> None:
+        """Note the end of an attempt; a closed account goes with its last one."""
+        account.out.pop(attempt, None)
+        if not account.open and not account.out:
+            self.closed.append(account)
+
+    def _close(self, account: Account) -> None:
+        account.answered = None
+        self.owed -= 1
+        self.closed.append(account)
--- /dev/null
+++ b/sedgepitch/core/pool.py
@@ -0,0 +1,234 @@
+"""Connections to one member: which one carries an attempt, when one is opened, what is left behind.
+
+One exchange at a time a connection. The one used last goes first, so that those not needed fall idle and are
+closed, and a bounded number is open. An exchange given up on before its bytes left was never sent; one given
+up on later leaves its connection waiting for the answer, so that it can be used again, but not for long.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from sedgepitch.core.types import AttemptEnd, Clock, Ended
+from sedgepitch.interface import Result
+
+LINGER = 1.0  # s that an answer nobody waits for is waited for, before its connection is closed
+
+
+@dataclass(slots=True, frozen=True)
+class PoolLimits:
+    """Bounds of one pool; times in seconds."""
+
+    most: int = 64
+    connect_within: float = 1.0
+    idle_for: float = 60.0
+
+
+class Connection(Protocol):
+    """One open connection of a front's own kind."""
+
+    def start(self, payload: Any, done: Callable[[Any], None]) -> None:
+        """Send one request; `done` gets the reply."""
+
+    def close(self) -> None:
+        """End the connection at once."""
+
+
+class Connector(Protocol):
+    """Opens connections; exactly one of the two callbacks follows, and `lost` once after `ready`."""
+
+    def __call__(
+        self,
+        ready: Callable[[Connection], None],
+        failed: Callable[[str], None],
+        lost: Callable[[str], None],
+    ) -> Callable[[], None]:
+        """Begin to open one; what is returned gives it up."""
+
+
+class _Lane:
+    """One connection, open or being opened, and the exchange on it."""
+
+    __slots__ = ("connection", "exchange", "give_up", "idle_since", "lingering", "pool", "timer")
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.connection: Connection | None = None
+        self.exchange: _Exchange | None = None
+        self.give_up: Callable[[], None] | None = None
+        self.idle_since = 0.0
+        self.lingering = False
+        self.timer: Any = None
+
+    def open(self) -> None:
+        """Begin to connect."""
+        limits = self.pool.limits
+        self.timer = self.pool.clock.call_later(limits.connect_within, self.too_long)
+        self.give_up = self.pool.connector(self.ready, self.failed, self.lost)
+
+    def too_long(self) -> None:
+        """Connecting took too long."""
+        self.timer = None
+        if self.give_up is not None:
+            self.give_up()
+        self.failed("no connection in time")
+
+    def quiet(self) -> None:
+        """Stop the timer."""
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+    def ready(self, connection: Connection) -> None:
+        """Connected: begin what waits for it, or fall idle."""
+        self.quiet()
+        self.connection = connection
+        if self.exchange is None:
+            self.pool.rest(self)
+        else:
+            self.begin()
+
+    def begin(self) -> None:
+        """Send the exchange's payload."""
+        exchange = self.exchange
+        assert exchange is not None and self.connection is not None
+        exchange.sent = True
+        self.connection.start(exchange.payload, self.done)
+
+    def done(self, reply: Any) -> None:
+        """The reply is there; nobody may want it any more."""
+        self.quiet()
+        exchange, self.exchange = self.exchange, None
+        was_lingering, self.lingering = self.lingering, False
+        self.pool.rest(self)
+        if exchange is not None and not was_lingering:
+            exchange.end(self.pool.judge(exchange, reply))
+
+    def failed(self, why: str) -> None:
+        """No connection came about."""
+        self.quiet()
+        exchange, self.exchange = self.exchange, None
+        self.pool.drop(self)
+        if exchange is not None:
+            exchange.end(AttemptEnd(Result.CONNECT_FAILED, why=why))
+
+    def lost(self, why: str) -> None:
+        """The connection ended by the other side, or by ours."""
+        self.quiet()
+        exchange, self.exchange = self.exchange, None
+        self.pool.drop(self)
+        if exchange is not None and not self.lingering:
+            exchange.end(AttemptEnd(Result.RESET, why=why))
+
+    def linger(self) -> None:
+        """Nobody waits any more: wait a little for the answer, then close."""
+        self.lingering = True
+        self.timer = self.pool.clock.call_later(LINGER, self.close)
+
+    def close(self) -> None:
+        """End the connection."""
+        self.timer = None
+        if self.connection is not None:
+            self.connection.close()
+
+
+class _Exchange:
+    """One attempt: its payload, whether it left, and whoever waits for its end."""
+
+    __slots__ = ("lane", "on_end", "payload", "sent", "sent_at")
+
+    def __init__(self, payload: Any, on_end: Ended, now: float) -> None:
+        self.payload, self.sent, self.sent_at = payload, False, now
+        self.on_end: Ended | None = on_end
+        self.lane: _Lane | None = None
+
+    def end(self, how: AttemptEnd) -> None:
+        """Tell the end, once."""
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end(how)
+
+    def abandon(self) -> None:
+        """Stop waiting."""
+        self.on_end = None
+        lane = self.lane
+        if lane is None or lane.exchange is not self:
+            return
+        if self.sent:
+            lane.linger()
+        else:
+            lane.exchange = None  # it never left; the connection is kept for the next
+
+
+class Pool:
+    """The connections to one member. `judge` turns a reply into an end; it belongs to the front."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        connector: Connector,
+        judge: Callable[[_Exchange, Any], AttemptEnd],
+        limits: PoolLimits,
+    ) -> None:
+        self.clock, self.connector, self.judge, self.limits = clock, connector, judge, limits
+        self.lanes: set[_Lane] = set()
+        self.idle: list[_Lane] = []  # least lately used first
+        self.closed = False
+
+    def send(self, payload: Any, on_end: Ended) -> _Exchange:
+        """Start an exchange; its end is never told before this returns."""
+        exchange = _Exchange(payload, on_end, self.clock.now())
+        lane = self.idle.pop() if self.idle else None
+        if lane is not None:
+            self._hand(lane, exchange)
+            lane.begin()
+            return exchange
+        opening = next((x for x in self.lanes if x.connection is None and x.exchange is None), None)
+        if opening is not None:  # one is being opened that nobody waits for any more
+            self._hand(opening, exchange)
+        elif len(self.lanes) >= self.limits.most or self.closed:
+            end = AttemptEnd(Result.CONNECT_FAILED, why="all connections to the member are in use")
+            self.clock.call_later(0.0, exchange.end, end)
+        else:
+            lane = _Lane(self)
+            self.lanes.add(lane)
+            self._hand(lane, exchange)
+            lane.open()
+        return exchange
+
+    def close_idle(self) -> None:
+        """Close what is not in use."""
+        idle, self.idle = self.idle, []
+        for lane in idle:
+            lane.close()
+
+    def close(self) -> None:
+        """Close everything; exchanges under way end as reset."""
+        self.closed = True
+        for lane in list(self.lanes):
+            if lane.connection is not None:
+                lane.connection.close()
+            elif lane.give_up is not None:
+                lane.give_up()
+                lane.failed("the pool is closed")
+
+    def rest(self, lane: _Lane) -> None:
+        """Keep a connection that is free; those unused for too long go now."""
+        if lane not in self.lanes:
+            return
+        now = self.clock.now()
+        lane.idle_since = now
+        self.idle.append(lane)
+        while self.idle and now - self.idle[0].idle_since > self.limits.idle_for:
+            self.idle.pop(0).close()
+
+    def drop(self, lane: _Lane) -> None:
+        """Forget a connection that has ended."""
+        self.lanes.discard(lane)
+        if lane in self.idle:
+            self.idle.remove(lane)
+
+    def _hand(self, lane: _Lane, exchange: _Exchange) -> None:
+        lane.exchange, exchange.lane = exchange, lane
--- /dev/null
+++ b/sedgepitch/core/types.py
@@ -0,0 +1,90 @@
+"""What passes between a front, the engine and the members' side; none of it knows a protocol."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+
+from sedgepitch.interface import Listing, Report, Result
+
+
+class Verdict(Enum):
+    """The final answers."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+@dataclass(slots=True, frozen=True)
+class Command:
+    """A client's request as the engine sees it; `payload` is the front's own, for members."""
+
+    class_name: str
+    group: int
+    time_left: float
+    payload: Any
+    session: str = ""
+    session_age: float = 0.0
+
+
+@dataclass(slots=True, frozen=True)
+class AttemptEnd:
+    """How one attempt at a member ended; `reply` is the front's own, `why` a few words for the operator."""
+
+    result: Result
+    reply: Any = None
+    primary: bool | None = None
+    position: float | None = None
+    report: Report | None = None
+    why: str = ""
+
+
+@dataclass(slots=True, frozen=True)
+class Answer:
+    """The one final answer of a request."""
+
+    verdict: Verdict
+    reply: Any = None
+    member: int | None = None
+    come_back: float = 0.0
+    why: str = ""
+
+
+Answered = Callable[[Answer], None]
+Ended = Callable[[AttemptEnd], None]
+
+
+class Exchange(Protocol):
+    """One attempt under way."""
+
+    def abandon(self) -> None:
+        """Stop waiting; `on_end` is not called any more."""
+
+
+class Members(Protocol):
+    """The members' side of a front: what the engine needs of it."""
+
+    def send(self, member: int, payload: Any, on_end: Ended) -> Exchange:
+        """Send the payload to a member; on_end is called once, never before this returns."""
+
+    def probe(self, member: int, on_end: Ended) -> None:
+        """Ask a member for its report; on_end is called once, within a bounded time."""
+
+    def close_idle(self, member: int) -> None:
+        """Close the connections to a member that are not in use."""
+
+    def listed(self, listings: tuple[Listing, ...], complete: bool) -> None:
+        """Take the member list, before the module does."""
+
+
+class Clock(Protocol):
+    """One monotonic clock and its timers; tests pass a fake one."""
+
+    def now(self) -> float:
+        """Seconds, never going back."""
+
+    def call_later(self, delay: float, call: Callable[..., object], *args: object) -> Any:
+        """Call after that many seconds; what is returned can be cancelled."""
--- /dev/null
+++ b/sedgepitch/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of members comes from."""
--- /dev/null
+++ b/sedgepitch/fronts/mongo/__init__.py
@@ -0,0 +1,1 @@
+"""The MongoDB wire protocol, a subset: see docs/wire.md."""
--- /dev/null
+++ b/sedgepitch/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load over sockets and the scripted bad day."""
--- /dev/null
+++ b/sedgepitch/load/processes.py
@@ -0,0 +1,170 @@
+"""Run a fleet of stand-ins and drivers as processes of their own, and speak to the fleet's control socket."""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import json
+import queue
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+READY_WITHIN = 60.0  # s; generous, machines are shared
+
+
+class ProcessError(Exception):
+    """A process that did not come up; the text has its last words."""
+
+
+class Process:
+    """One `python -m sedgepitch` process that says `ready host:port` when it is."""
+
+    def __init__(self, arguments: list[str], log: Path) -> None:
+        self.log = log
+        self.log_file = log.open("ab")
+        self.process = subprocess.Popen(
+            [sys.executable, "-u", "-m", "sedgepitch", *arguments],
+            stdout=subprocess.PIPE,
+            stderr=self.log_file,
+            text=True,
+        )
+        self.lines: queue.Queue[str] = queue.Queue()
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        assert self.process.stdout is not None
+        for line in self.process.stdout:
+            self.lines.put(line)
+        self.lines.put("")
+
+    def ready(self) -> tuple[str, int]:
+        """Wait until it serves; returns its address. Raises ProcessError."""
+        end = time.monotonic() + READY_WITHIN
+        while time.monotonic() < end:
+            try:
+                line = self.lines.get(timeout=0.2)
+            except queue.Empty:
+                continue
+            if line.startswith("ready "):
+                host, _, port = line.split()[1].rpartition(":")
+                return host, int(port)
+            if not line:
+                break
+        self.stop()
+        last = self.log.read_text(errors="replace").strip().splitlines()
+        raise ProcessError(last[-1] if last else "a process ended without a word")
+
+    def kill(self) -> None:
+        """End it without notice."""
+        self.process.kill()
+        self.process.wait()
+
+    def stop(self) -> int:
+        """End it in order; returns its exit code."""
+        if self.process.poll() is None:
+            self.process.terminate()
+            try:
+                self.process.wait(timeout=20.0)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+        self.log_file.close()
+        return self.process.returncode
+
+
+class Control:
+    """A client of the fleet's control socket."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.socket = socket.create_connection(address, timeout=10.0)
+        self.file = self.socket.makefile("rb")
+
+    def ask(self, op: str, **fields: Any) -> dict[str, Any]:
+        """One request; returns its answer."""
+        self.socket.sendall(json.dumps({"op": op, **fields}).encode() + b"\n")
+        answer: dict[str, Any] = json.loads(self.file.readline())
+        return answer
+
+    def close(self) -> None:
+        """Hang up."""
+        self.file.close()
+        self.socket.close()
+
+
+class Stage:
+    """A fleet and its drivers, on ephemeral loopback ports. `settings` is a settings file's content."""
+
+    def __init__(self, settings: dict[str, Any], directory: Path) -> None:
+        self.settings = copy.deepcopy(settings)
+        self.directory = directory
+        self.drivers: dict[str, Process] = {}
+        self.addresses: dict[str, tuple[str, int]] = {}
+        self.driver_settings: dict[str, dict[str, Any]] = {}
+        self.record = directory / "members.jsonl"
+        self.settings["standins"] |= {"control": "127.0.0.1:0", "record": str(self.record)}
+        for member in self.settings["members"]:
+            member["address"] = "127.0.0.1:0"
+        self.fleet = Process(
+            ["standins", "--config", self._write("fleet", self.settings)], directory / "fleet.log"
+        )
+        self.control_address = self.fleet.ready()
+        self.control = Control(self.control_address)
+
+    def _write(self, name: str, settings: dict[str, Any]) -> str:
+        path = self.directory / f"{name.replace('/', '_')}.yaml"
+        path.write_text(yaml.safe_dump(settings), encoding="utf-8")
+        return str(path)
+
+    def driver(self, name: str, **changes: dict[str, Any]) -> tuple[str, int]:
+        """Start a driver, or start it again at its old address; `changes` are laid over parts of settings."""
+        settings = self.driver_settings.get(name)
+        if settings is None:
+            settings = copy.deepcopy(self.settings)
+            host, port = self.control_address
+            settings["follow"] = {"control": f"{host}:{port}"}
+            settings["listen"] = "127.0.0.1:0"
+            settings.setdefault("driver", {})["name"] = name
+            for part, values in changes.items():
+                settings[part] = {**settings.get(part, {}), **values}
+            self.driver_settings[name] = settings
+        process = Process(["serve", "--config", self._write(name, settings)], self.directory / f"{name}.log")
+        self.drivers[name] = process
+        address = self.addresses[name] = process.ready()
+        settings["listen"] = f"{address[0]}:{address[1]}"
+        return address
+
+    def fault(self, do: str, **fields: Any) -> None:
+        """Make something go wrong; raises ProcessError where the fleet cannot."""
+        answer = self.control.ask("fault", do=do, **fields)
+        if not answer["ok"]:
+            raise ProcessError(f"fault {do}: {answer['error']}")
+
+    def members(self) -> list[dict[str, Any]]:
+        """How the members stand."""
+        rows: list[dict[str, Any]] = self.control.ask("status")["members"]
+        return rows
+
+    def stop(self) -> None:
+        """End everything."""
+        for process in self.drivers.values():
+            process.stop()
+        self.control.close()
+        self.fleet.stop()
+
+
+@contextlib.contextmanager
+def stage(settings: dict[str, Any], directory: Path) -> Iterator[Stage]:
+    """A stage that ends with the block."""
+    held = Stage(settings, directory)
+    try:
+        yield held
+    finally:
+        held.stop()
--- /dev/null
+++ b/sedgepitch/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/sedgepitch/observe/metrics.py
@@ -0,0 +1,62 @@
+"""Plain metrics of one driver, for prometheus; one registry each, so that several fit in one process."""
+
+from __future__ import annotations
+
+from prometheus_client import CollectorRegistry, Counter, Histogram
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+from sedgepitch.core.engine import Engine
+from sedgepitch.core.ledger import Account
+from sedgepitch.core.types import Answer
+
+BUCKETS = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+class _Gauges(Collector):
+    def __init__(self, engine: Engine) -> None:
+        self.engine = engine
+
+    def collect(self) -> list[GaugeMetricFamily]:
+        """Read the ledger as it stands."""
+        ledger = self.engine.ledger
+        figures = {
+            "sedgepitch_owed": ("Requests that are owed an answer.", ledger.owed),
+            "sedgepitch_overdue": ("Answers that only the last guard gave.", self.engine.overdue),
+            "sedgepitch_answered_twice": ("Second answers that were held back.", ledger.twice),
+            "sedgepitch_left": ("Clients that left before their answer.", ledger.left),
+        }
+        return [GaugeMetricFamily(name, text, value=value) for name, (text, value) in figures.items()]
+
+
+class Metrics:
+    """Counts answers by class and verdict, attempts by member, and the time to answer."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = Counter(
+            "sedgepitch_answers", "Final answers.", ("class_name", "verdict"), registry=self.registry
+        )
+        self.attempts = Counter("sedgepitch_attempts", "Attempts.", ("member",), registry=self.registry)
+        self.input_errors = Counter(
+            "sedgepitch_input_errors", "Bad input.", ("kind",), registry=self.registry
+        )
+        self.seconds = Histogram(
+            "sedgepitch_answer_seconds",
+            "Time to the final answer.",
+            ("class_name",),
+            buckets=BUCKETS,
+            registry=self.registry,
+        )
+
+    def watch(self, engine: Engine) -> None:
+        """Show an engine's ledger, too."""
+        self.registry.register(_Gauges(engine))
+
+    def answered(self, account: Account, answer: Answer, elapsed: float) -> None:
+        """Count one final answer."""
+        name = account.command.class_name or "cursor"
+        self.answers.labels(name, answer.verdict.value).inc()
+        self.seconds.labels(name).observe(elapsed)
+        for member in account.members:
+            self.attempts.labels(str(member)).inc()
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,38 @@
+"""Stages for the tests on sockets: one fleet and driver for those that leave them as they were."""
+
+from __future__ import annotations
+
+from importlib.resources import files
+
+import pytest
+import yaml
+
+from sedgepitch.load.processes import stage
+
+
+def example() -> dict:
+    """The example settings, members quick, so that tests are."""
+    settings = yaml.safe_load(files("sedgepitch.config").joinpath("example.yaml").read_text())
+    settings["standins"] |= {
+        "read_work": {"least": "0.5 ms", "most": "1 ms"},
+        "write_work": {"least": "0.5 ms", "most": "1 ms"},
+        "election_after": "300 ms",
+        "election_takes": "200 ms",
+        "list_delay": "50 ms",
+    }
+    return settings
+
+
+@pytest.fixture(scope="session")
+def calm(tmp_path_factory):
+    """A fleet without trouble and one driver before it."""
+    with stage(example(), tmp_path_factory.mktemp("calm")) as held:
+        held.driver("calm-1")
+        yield held
+
+
+@pytest.fixture
+def rough(tmp_path):
+    """A fleet of this test's own, to be treated badly."""
+    with stage(example(), tmp_path) as held:
+        yield held
