--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -78,12 +78,19 @@
     """Run until a signal, then stop in order."""
     stopping: list[int] = []
 
+    def halt() -> None:
+        if not halted:
+            halted.append(True)
+            reactor.stop()
+
+    halted: list[bool] = []
+
     def end(number: int, frame: FrameType | None) -> None:
         if stopping:
-            reactor.callFromThread(reactor.stop)
+            reactor.callFromThread(halt)
             return
         stopping.append(number)
-        reactor.callFromThread(stop, lambda: reactor.stop() if reactor.running else None)
+        reactor.callFromThread(stop, halt)
 
     signal.signal(signal.SIGTERM, end)
     signal.signal(signal.SIGINT, end)
@@ -149,10 +156,10 @@
     click.echo(f"ready {control.host}:{control.port}")
 
     def stop(done: Any) -> None:
-        fleet.stop()
+        fleet.close()
         reactor.callLater(0.05, done)
 
-    fleet.stopped = lambda: reactor.callLater(0.05, reactor.stop) if reactor.running else None
+    fleet.stopped = lambda: os.kill(os.getpid(), signal.SIGTERM)
     _run(reactor, stop)
 
 
@@ -162,12 +169,22 @@
 @click.option("--script", type=click.Path(exists=True, dir_okay=False), help="Troubles (YAML).")
 @click.option("--json", "json_path", type=click.Path(dir_okay=False), help="Write the result there.")
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep records and logs in this directory.")
-def badday(seed: int, length: float, script: str | None, json_path: str | None, keep: str | None) -> None:
+@click.option("--driver-module", default="sedgepitch", hidden=True, help="Drivers to try the audit on.")
+@click.option("--slack", default=0.25, show_default=True, type=float, help="Of the audit, seconds.")
+def badday(
+    seed: int,
+    length: float,
+    script: str | None,
+    json_path: str | None,
+    keep: str | None,
+    driver_module: str,
+    slack: float,
+) -> None:
     """Play a bad day on loopback sockets and check the five rules from the recorded traffic."""
     from sedgepitch.load.badday import BadDay, DayError, table
 
     try:
-        day = BadDay(seed=seed, length=length, script=script, keep=keep)
+        day = BadDay(seed, length, script, keep, driver_module, slack=slack)
         result = day.run(progress=sys.stderr.isatty())
     except DayError as error:
         raise click.ClickException(str(error)) from None
--- /dev/null
+++ b/sedgepitch/load/badday.py
@@ -0,0 +1,441 @@
+"""A scripted bad day on loopback: drivers, stand-in members and clients, and the audit at its end.
+
+The same seed and script give the same requests at the same planned times and the same troubles; what the
+machine makes of them is its own.
+"""
+
+from __future__ import annotations
+
+import random
+import sys
+import tempfile
+from dataclasses import dataclass, field
+from importlib.resources import files
+from pathlib import Path
+from typing import Any
+
+import bson
+import click
+import yaml
+from hdrh.histogram import HdrHistogram
+
+from sedgepitch.audit.records import read as read_records
+from sedgepitch.audit.rules import ClassFacts, Figures, Roles, audit
+from sedgepitch.load.caller import Ask, Caller, Got, RecordFile, now
+from sedgepitch.load.processes import ProcessError, Stage
+
+DRIVERS = 3
+RATE = 240.0  # requests a second over all drivers, on a quiet stretch
+SESSIONS = 40  # for each driver
+FULL_LENGTH = 40.0  # s; the length that the script's times are written for
+RETRY_WAIT = (0.1, 0.3)  # s before a client's own retry where it got no advice
+
+
+class DayError(Exception):
+    """The day could not be played; one line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Kind:
+    """One class of the day's requests."""
+
+    name: str
+    share: float
+    freshness: str
+    deadline: float
+    aim: float
+    max_age: float = 0.0
+    effect: str = "safe"
+    window: float = 0.0
+
+
+KINDS = (
+    Kind("upload", 0.10, "write", 2.0, 0.2, effect="keyed", window=1.2),
+    Kind("note", 0.03, "write", 2.0, 0.2, effect="unsafe"),
+    Kind("own-read", 0.22, "session", 0.5, 0.2),
+    Kind("current-read", 0.03, "fresh", 0.5, 0.2),
+    Kind("history-read", 0.20, "any", 0.6, 0.2),
+    Kind("map-read", 0.42, "bounded", 0.8, 0.2, max_age=0.5),
+)
+
+
+def day_settings() -> dict[str, Any]:
+    """The settings of drivers and fleet: the example, with times that suit a short day."""
+    settings: dict[str, Any] = yaml.safe_load(
+        files("sedgepitch.config").joinpath("example.yaml").read_text(encoding="utf-8")
+    )
+    settings["module"] = {"drivers": DRIVERS}
+    settings["log"] = {"level": "info", "format": "json", "lines_per_second": 2000}
+    settings["rules"] |= {"warm_within": "5 s"}
+    settings["standins"] |= {
+        "read_work": {"least": "5 ms", "most": "10 ms"},
+        "write_work": {"least": "4 ms", "most": "8 ms"},
+        "cores": 2,
+        "warm_within": "5 s",
+    }
+    return settings
+
+
+@dataclass
+class Session:
+    """One station's session: its id, its key count, and its last acknowledged write."""
+
+    lsid: bson.Binary
+    number: int = 0
+    last_write: str | None = None
+    after: bson.Timestamp | None = None
+
+
+@dataclass
+class Tally:
+    """What became of one class's requests (client retries counted with their first try)."""
+
+    asked: int = 0
+    in_time: int = 0
+    late: int = 0
+    refused: int = 0
+    failed: int = 0
+    other: int = 0
+    times: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 60_000_000, 3))
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return it for a report; times in milliseconds."""
+        out = {n: getattr(self, n) for n in ("asked", "in_time", "late", "refused", "failed", "other")}
+        for name, share in (("p50_ms", 50.0), ("p99_ms", 99.0)):
+            out[name] = self.times.get_value_at_percentile(share) / 1000.0 if self.times.total_count else None
+        return out
+
+
+class BadDay:
+    """One day. `run` plays it and returns the result; it must be the reactor's first use in the process."""
+
+    def __init__(
+        self,
+        seed: int = 1,
+        length: float = FULL_LENGTH,
+        script: str | None = None,
+        keep: str | None = None,
+        driver_module: str = "sedgepitch",
+        rate: float = RATE,
+        slack: float = 0.25,
+        settings: dict[str, Any] | None = None,
+    ) -> None:
+        self.seed, self.length, self.keep = seed, length, keep
+        self.random = random.Random(seed)
+        self.driver_module, self.rate, self.slack = driver_module, rate, slack
+        self.settings = settings or day_settings()
+        self.troubles = self._script(script)
+        self.tallies = {kind.name: Tally() for kind in KINDS}
+        self.callers: dict[str, Caller] = {}
+        self.sessions: dict[str, list[Session]] = {}
+        self.factor = 1.0
+        self.count = 0
+        self.planned = 0.0
+        self.reactor: Any = None
+        self.under_way = 0
+        self.drawing = True
+        self.errors: list[str] = []
+
+    def _script(self, path: str | None) -> list[dict[str, Any]]:
+        try:
+            if path is None:
+                text = files("sedgepitch.load").joinpath("badday.yaml").read_text(encoding="utf-8")
+            else:
+                text = Path(path).read_text(encoding="utf-8")
+            raw = yaml.safe_load(text)
+            troubles = [dict(t) for t in raw["troubles"]]
+            for part, values in (raw.get("settings") or {}).items():
+                self.settings[part] = {**self.settings.get(part, {}), **values}
+            self.rate = float(raw.get("rate", self.rate))
+            for number, trouble in enumerate(troubles, 1):
+                if not (0 <= float(trouble["at"]) <= 1) or not isinstance(trouble["do"], str):
+                    raise DayError(f"{path}: trouble {number}: 'at' is a share of the day and 'do' a name")
+            return troubles
+        except (OSError, yaml.YAMLError, KeyError, TypeError, ValueError) as error:
+            raise DayError(f"{path}: {str(error).splitlines()[0]}") from None
+
+    def run(self, progress: bool = False) -> dict[str, Any]:
+        """Play the day; raises DayError where its processes do not come up."""
+        with tempfile.TemporaryDirectory() as scratch:
+            directory = Path(self.keep or scratch)
+            directory.mkdir(parents=True, exist_ok=True)
+            try:
+                stage = Stage(self.settings, directory, self.driver_module)
+            except ProcessError as error:
+                raise DayError(str(error)) from None
+            try:
+                return self._play(stage, directory, progress)
+            except ProcessError as error:
+                raise DayError(str(error)) from None
+            finally:
+                stage.stop()
+
+    def _play(self, stage: Stage, directory: Path, progress: bool) -> dict[str, Any]:
+        from twisted.internet import reactor
+        from twisted.internet.threads import deferToThread
+
+        self.reactor = reactor
+        self.stage, self.defer = stage, deferToThread
+        record = self.record = RecordFile(str(directory / "clients.jsonl"))
+        for number in range(1, DRIVERS + 1):
+            name = f"driver-{number}"
+            zone = "north" if number % 2 else "south"
+            address = stage.driver(name, driver={"zone": zone, "seed": self.seed * 100 + number})
+            self.callers[name] = Caller(reactor, name, address, record)
+            self.sessions[name] = [
+                Session(bson.Binary(self.random.randbytes(16), 4)) for _ in range(SESSIONS)
+            ]
+        self.began = now()
+        for trouble in self.troubles:
+            self.reactor.callLater(float(trouble["at"]) * self.length, self._trouble, trouble)
+        self.reactor.callLater(0.0, self._next_arrival)
+        self.reactor.callLater(self.length, self._close)
+        bar = (
+            click.progressbar(length=round(self.length), label="bad day", file=_terminal())
+            if progress
+            else None
+        )
+        if bar is not None:
+            with bar:
+                self._tick(bar, 0)
+                self.reactor.run()
+        else:
+            self.reactor.run()
+        record.close()
+        stage.stop()
+        if self.errors:
+            raise DayError(self.errors[0])
+        return self._result(directory)
+
+    def _tick(self, bar: Any, shown: int) -> None:
+        passed = min(round(self.length), int(now() - self.began))
+        bar.update(passed - shown)
+        if passed < round(self.length):
+            self.reactor.callLater(0.5, self._tick, bar, passed)
+
+    # Traffic
+
+    def _next_arrival(self) -> None:
+        """Open loop: the next arrival is drawn from the plan's own clock, not from answers."""
+        due = now() - self.began
+        if due >= self.length or not self.drawing:
+            return
+        self._arrive()
+        self.planned += self.random.expovariate(self.rate * self.factor)
+        self.reactor.callLater(max(0.0, self.planned - (now() - self.began)), self._next_arrival)
+
+    def _arrive(self) -> None:
+        draw = self.random.random()
+        kind = KINDS[-1]
+        for candidate in KINDS:
+            if draw < candidate.share:
+                kind = candidate
+                break
+            draw -= candidate.share
+        driver = self.random.choice(sorted(self.callers))
+        session = self.random.choice(self.sessions[driver])
+        self.tallies[kind.name].asked += 1
+        self._try(kind, driver, session, tries=0, op="", started=now())
+
+    def _try(
+        self, kind: Kind, driver: str, session: Session, tries: int, op: str, started: float, key: int = 0
+    ) -> None:
+        self.count += 1
+        rid = f"{kind.name}-{self.count}"
+        op = op or rid
+        writes, keyed = kind.freshness == "write", kind.effect == "keyed"
+        station = self.random.randrange(200)
+        comment = {"class": kind.name, "rid": rid}
+        lsid = {"id": session.lsid}
+        if writes:
+            document = {"station": station, "op": op}
+            command: dict[str, Any] = {"insert": "readings", "documents": [document], "ordered": True}
+            if keyed:
+                if not key:
+                    session.number += 1
+                    key = session.number
+                command |= {"lsid": lsid, "txnNumber": bson.Int64(key)}
+        else:
+            command = {"find": "readings", "filter": {"station": station}, "limit": 3, "lsid": lsid}
+            if kind.freshness == "session" and session.after is not None:
+                command["readConcern"] = {"afterClusterTime": session.after}
+        command |= {"$db": "sky", "comment": comment}
+        patience = kind.deadline * self.random.uniform(0.4, 1.0)
+        leaves = self.random.random() < 0.01
+        ask = Ask(
+            rid=rid,
+            op=op,
+            driver=driver,
+            class_name=kind.name,
+            command=command,
+            patience=patience,
+            writes=writes,
+            keyed=keyed,
+            need=session.last_write if kind.freshness == "session" else None,
+            leave_after=self.random.uniform(0.0, 0.02) if leaves else None,
+        )
+        self.under_way += 1
+
+        def done(got: Got) -> None:
+            self.under_way -= 1
+            if got.verdict == "served" and writes and keyed:
+                session.last_write, session.after = rid, got.reply.get("operationTime")
+            retry = self.drawing and tries < 1 and self._may_retry(kind, got, now() - started)
+            if not retry:
+                self._count(kind, got, now() - started)
+                return
+            wait = got.come_back or self.random.uniform(*RETRY_WAIT)
+            other = driver if keyed else self.random.choice(sorted(self.callers))
+            self.reactor.callLater(wait, self._try, kind, other, session, tries + 1, op, started, key)
+
+        self.callers[driver].send(ask, done)
+
+    def _may_retry(self, kind: Kind, got: Got, passed: float) -> bool:
+        """A refusal and a try that was never made may be tried again; a lost one only where that is safe."""
+        if got.verdict in ("refused", "unsent"):
+            return True
+        if got.verdict == "closed":
+            return kind.effect == "safe" or (kind.effect == "keyed" and passed < kind.window / 3)
+        return got.verdict == "failed" and kind.effect == "safe"
+
+    def _count(self, kind: Kind, got: Got, passed: float) -> None:
+        tally = self.tallies[kind.name]
+        if got.verdict == "served":
+            tally.times.record_value(max(1, round(passed * 1e6)))
+            tally.in_time += passed <= kind.aim
+            tally.late += passed > kind.aim
+        elif got.verdict in ("refused", "failed"):
+            setattr(tally, got.verdict, getattr(tally, got.verdict) + 1)
+        else:
+            tally.other += 1
+
+    # Troubles
+
+    def _trouble(self, trouble: dict[str, Any]) -> None:
+        short = min(1.0, self.length / FULL_LENGTH)
+        fields = {k: v for k, v in trouble.items() if k not in ("at", "do")}
+        if "for" in fields and fields["for"] >= 1:
+            fields["for"] *= short
+        if "then" in fields and fields["then"].get("for", 0) >= 1:
+            fields["then"] = {**fields["then"], "for": fields["then"]["for"] * short}
+        do = trouble["do"]
+        if do == "burst":
+            self.factor = float(fields.get("factor", 2.0))
+            self.reactor.callLater(float(fields.get("for", 2.0)), setattr, self, "factor", 1.0)
+            return
+        name = f"driver-{fields.get('driver', 1)}"
+        if do == "kill":
+            self.record("killed", d=name)
+            self.stage.drivers[name].kill()
+            return
+        deferred = self.defer(self._start, name) if do == "start" else self.defer(self._fault, do, fields)
+        deferred.addErrback(lambda failure: self.errors.append(failure.getErrorMessage()))
+
+    def _start(self, name: str) -> None:
+        self.stage.driver(name)
+
+    def _fault(self, do: str, fields: dict[str, Any]) -> None:
+        self.stage.fault(do, **fields)
+
+    def _close(self) -> None:
+        """No more arrivals; end when all has been answered, or when nothing more can be."""
+        self.drawing = False
+        end = now() + 6.0
+
+        def look() -> None:
+            if self.under_way and now() < end:
+                self.reactor.callLater(0.05, look)
+                return
+            for caller in self.callers.values():
+                caller.close()
+            self.reactor.callLater(0.1, self.reactor.stop)
+
+        look()
+
+    # The result
+
+    def _result(self, directory: Path) -> dict[str, Any]:
+        records = read_records([directory / "clients.jsonl", directory / "members.jsonl"])
+        classes = {k.name: ClassFacts(k.freshness, k.max_age, k.effect, k.window) for k in KINDS}
+        findings = audit(records, classes, self.figures())
+        return {
+            "seed": self.seed,
+            "length_s": self.length,
+            "drivers": DRIVERS,
+            "members": len(self.settings["members"]),
+            "requests": sum(t.asked for t in self.tallies.values()),
+            "rules": [f.as_dict() for f in findings],
+            "classes": {name: tally.as_dict() for name, tally in self.tallies.items()},
+            "reads": _where(records),
+        }
+
+    def figures(self) -> Figures:
+        """The figures that the drivers were given, and the audit's slack."""
+        from sedgepitch.config.models import RulesModel
+
+        rules = RulesModel.model_validate(self.settings["rules"])
+        return Figures(
+            rules.drain_grace,
+            rules.overload_factor,
+            rules.overload_time,
+            rules.start_capacity,
+            rules.warm_within,
+            self.slack,
+        )
+
+
+def _where(records: list[dict[str, Any]]) -> dict[str, dict[str, int]]:
+    """Reads served, by class: at the primary of that moment, or at a replica."""
+    from sedgepitch.audit.rules import Evidence
+
+    evidence = Evidence(records)
+    roles = Roles(evidence)
+    out: dict[str, dict[str, int]] = {}
+    for rid, ask in evidence.asked.items():
+        answer = next((a for a in evidence.got.get(rid, []) if a["verdict"] == "served"), None)
+        if ask["w"] or answer is None or answer.get("m") is None:
+            continue
+        side = "primary" if roles.primary(0, answer["t"]) == answer["m"] else "replicas"
+        row = out.setdefault(ask["cls"], {"primary": 0, "replicas": 0})
+        row[side] += 1
+    return out
+
+
+def _terminal() -> Any:
+    return sys.stderr
+
+
+def table(result: dict[str, Any]) -> str:
+    """The result as a person reads it."""
+    lines = [
+        f"{result['requests']} requests in {result['length_s']:g} s, {result['drivers']} drivers, "
+        f"{result['members']} members, seed {result['seed']}",
+        "",
+        f"{'rule':32}{'checked':>9}{'broken':>8}",
+    ]
+    for rule in result["rules"]:
+        name = f"{rule['rule']}. {rule['name']}"
+        verdict = "kept" if not rule["broken"] else "BROKEN"
+        lines.append(f"{name:32}{rule['checked']:>9}{rule['broken']:>8}  {verdict}")
+        lines += [f"     {text}" for text in rule["told"][:5]]
+    head = (
+        "class",
+        "asked",
+        "in time",
+        "late",
+        "refused",
+        "failed",
+        "left/lost",
+        "p50 ms",
+        "p99 ms",
+        "at replicas",
+    )
+    columns: list[str] = list(head[1:])
+    lines += ["", f"{head[0]:14}" + "".join(f"{name:>12}" for name in columns)]
+    for name, row in result["classes"].items():
+        where = result["reads"].get(name)
+        share = f"{where['replicas'] / max(1, sum(where.values())):.0%}" if where else "-"
+        figures = [row[k] for k in ("asked", "in_time", "late", "refused", "failed", "other")]
+        times = ["-" if row[k] is None else f"{row[k]:.1f}" for k in ("p50_ms", "p99_ms")]
+        lines.append(f"{name:14}" + "".join(f"{value!s:>12}" for value in [*figures, *times, share]))
+    return "\n".join(lines)
--- /dev/null
+++ b/sedgepitch/load/caller.py
@@ -0,0 +1,208 @@
+"""Clients of a driver: open-loop requests over connections that carry one each, and a record of every answer.
+
+A request is begun when its time has come, whether or not the ones before it have been answered; a connection
+that is free carries it, else a new one is opened. Times are those of the machine's monotonic clock.
+"""
+
+from __future__ import annotations
+
+import json
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import IO, Any
+
+import bson
+from twisted.internet.protocol import ClientFactory, connectionDone
+from twisted.python.failure import Failure
+
+from sedgepitch.fronts.mongo import codec
+from sedgepitch.fronts.mongo.codec import WireError
+from sedgepitch.fronts.mongo.framing import FrameReceiver
+
+now = time.monotonic
+
+
+@dataclass(slots=True)
+class Ask:
+    """One try of one request."""
+
+    rid: str
+    op: str  # the operation: the same for all its tries
+    driver: str
+    class_name: str
+    command: dict[str, Any]
+    patience: float  # s
+    writes: bool
+    keyed: bool
+    need: str | None = None  # the rid of the session's last write that the read must see
+    leave_after: float | None = None  # s after which the client leaves without its answer
+    asked: float = 0.0
+
+
+@dataclass(slots=True)
+class Got:
+    """How a try ended: served, refused, failed, closed (no connection any more), unsent, or left."""
+
+    ask: Ask
+    verdict: str
+    elapsed: float
+    reply: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def come_back(self) -> float:
+        """When the driver asks to be asked again, in seconds; 0 for no advice."""
+        return float(self.reply.get("retryAfterMS", 0)) / 1000.0
+
+
+class RecordFile:
+    """Where clients write what they saw."""
+
+    def __init__(self, path: str) -> None:
+        self.file: IO[str] = open(path, "w", encoding="utf-8")
+
+    def __call__(self, kind: str, **fields: Any) -> None:
+        """Write one record."""
+        fields.setdefault("t", now())
+        self.file.write(json.dumps({"e": kind, **fields}, separators=(",", ":")) + "\n")
+
+    def close(self) -> None:
+        """Flush and close."""
+        self.file.close()
+
+
+class Connection(FrameReceiver):
+    """One client connection."""
+
+    def __init__(self, caller: Caller) -> None:
+        super().__init__()
+        self.caller = caller
+        self.number = 0
+        self.ask: Ask | None = None
+        self.done: Callable[[Got], None] | None = None
+        self.timer: Any = None
+        self.up = False
+
+    def connectionMade(self) -> None:
+        """Begin with what waits."""
+        self.up = True
+        self.transport.setTcpNoDelay(True)
+        self._write()
+
+    def begin(self, ask: Ask, done: Callable[[Got], None]) -> None:
+        """Carry one try."""
+        self.ask, self.done = ask, done
+        if self.up:
+            self._write()
+
+    def _write(self) -> None:
+        ask = self.ask
+        if ask is None:
+            return
+        self.number += 1
+        ask.asked = now()
+        record = {"rid": ask.rid, "op": ask.op, "d": ask.driver, "cls": ask.class_name, "w": ask.writes}
+        self.caller.record(
+            "ask", t=ask.asked, by=ask.asked + ask.patience, keyed=ask.keyed, need=ask.need, **record
+        )
+        command = {**ask.command, "maxTimeMS": max(1, round(ask.patience * 1000.0))}
+        self.transport.write(codec.build(bson.encode(command), self.number, 0))
+        if ask.leave_after is not None:
+            self.timer = self.caller.reactor.callLater(ask.leave_after, self._leave)
+        else:
+            # A client that is never answered gives up long after its time; the audit has then seen it.
+            self.timer = self.caller.reactor.callLater(ask.patience + 2.0, self._never)
+
+    def _leave(self) -> None:
+        self.timer = None
+        if self.ask is not None:
+            self.caller.record("left", rid=self.ask.rid)
+            self._end("left", {})
+        self.transport.abortConnection()
+
+    def _never(self) -> None:
+        self.timer = None
+        self._end("lost", {})
+        self.transport.abortConnection()
+
+    def frame_received(self, frame: bytes) -> None:
+        """One reply."""
+        try:
+            message = codec.parse(frame)
+            reply = bson.decode(message.body)
+        except (WireError, bson.errors.BSONError):
+            self.transport.abortConnection()
+            return
+        if self.ask is None or message.response_to != self.number:
+            self.caller.record("extra", d=self.caller.driver)
+            return
+        labels = reply.get("errorLabels") or []
+        served = reply.get("ok") == 1
+        verdict = "served" if served else "refused" if "NoWritesPerformed" in labels else "failed"
+        self._end(verdict, reply)
+        if self.up:
+            self.caller.idle.append(self)
+
+    def _end(self, verdict: str, reply: dict[str, Any]) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+        ask, done, self.ask, self.done = self.ask, self.done, None, None
+        if ask is None or done is None:
+            return
+        member = reply.get("$member") or {}
+        if ask.asked:
+            at = now()
+            if verdict not in ("left", "lost"):
+                self.caller.record(
+                    "got", t=at, rid=ask.rid, verdict=verdict, m=member.get("id"), i=member.get("applied")
+                )
+        done(Got(ask, verdict, now() - ask.asked if ask.asked else 0.0, reply))
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """The driver hung up."""
+        self.up = False
+        if self in self.caller.idle:
+            self.caller.idle.remove(self)
+        self._end("closed", {})
+
+
+class Caller(ClientFactory):
+    """All client connections to one driver."""
+
+    noisy = False
+
+    def __init__(self, reactor: Any, driver: str, address: tuple[str, int], record: RecordFile) -> None:
+        self.reactor, self.driver, self.address, self.record = reactor, driver, address, record
+        self.idle: list[Connection] = []
+        self.opened = 0
+
+    def send(self, ask: Ask, done: Callable[[Got], None]) -> None:
+        """Make one try; `done` hears how it ended."""
+        if self.idle:
+            self.idle.pop().begin(ask, done)
+            return
+        self.opened += 1
+        connection = Connection(self)
+        connection.begin(ask, done)
+        self.reactor.connectTCP(*self.address, _One(connection), timeout=5.0)
+
+    def close(self) -> None:
+        """Hang up what is idle."""
+        for connection in list(self.idle):
+            connection.transport.loseConnection()
+
+
+class _One(ClientFactory):
+    noisy = False
+
+    def __init__(self, connection: Connection) -> None:
+        self.connection = connection
+
+    def buildProtocol(self, addr: Any) -> Connection:
+        """The one connection."""
+        return self.connection
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """The driver does not listen: the try was never made."""
+        self.connection._end("unsent", {})
--- a/sedgepitch/load/processes.py
+++ b/sedgepitch/load/processes.py
@@ -27,11 +27,11 @@
 class Process:
     """One `python -m sedgepitch` process that says `ready host:port` when it is."""
 
-    def __init__(self, arguments: list[str], log: Path) -> None:
+    def __init__(self, arguments: list[str], log: Path, module: str = "sedgepitch") -> None:
         self.log = log
         self.log_file = log.open("ab")
         self.process = subprocess.Popen(
-            [sys.executable, "-u", "-m", "sedgepitch", *arguments],
+            [sys.executable, "-u", "-m", module, *arguments],
             stdout=subprocess.PIPE,
             stderr=self.log_file,
             text=True,
@@ -86,11 +86,13 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.socket = socket.create_connection(address, timeout=10.0)
         self.file = self.socket.makefile("rb")
+        self.lock = threading.Lock()  # one question at a time, from any thread
 
     def ask(self, op: str, **fields: Any) -> dict[str, Any]:
         """One request; returns its answer."""
-        self.socket.sendall(json.dumps({"op": op, **fields}).encode() + b"\n")
-        answer: dict[str, Any] = json.loads(self.file.readline())
+        with self.lock:
+            self.socket.sendall(json.dumps({"op": op, **fields}).encode() + b"\n")
+            answer: dict[str, Any] = json.loads(self.file.readline())
         return answer
 
     def close(self) -> None:
@@ -102,9 +104,9 @@
 class Stage:
     """A fleet and its drivers, on ephemeral loopback ports. `settings` is a settings file's content."""
 
-    def __init__(self, settings: dict[str, Any], directory: Path) -> None:
+    def __init__(self, settings: dict[str, Any], directory: Path, module: str = "sedgepitch") -> None:
         self.settings = copy.deepcopy(settings)
-        self.directory = directory
+        self.directory, self.module = directory, module
         self.drivers: dict[str, Process] = {}
         self.addresses: dict[str, tuple[str, int]] = {}
         self.driver_settings: dict[str, dict[str, Any]] = {}
@@ -135,7 +137,8 @@
             for part, values in changes.items():
                 settings[part] = {**settings.get(part, {}), **values}
             self.driver_settings[name] = settings
-        process = Process(["serve", "--config", self._write(name, settings)], self.directory / f"{name}.log")
+        arguments = ["serve", "--config", self._write(name, settings)]
+        process = Process(arguments, self.directory / f"{name}.log", self.module)
         self.drivers[name] = process
         address = self.addresses[name] = process.ready()
         settings["listen"] = f"{address[0]}:{address[1]}"
--- a/sedgepitch/standins/fleet.py
+++ b/sedgepitch/standins/fleet.py
@@ -111,9 +111,17 @@
                 group.promote(group.primary)
         factory = Factory.forProtocol(lambda: _Control(self))
         factory.noisy = False
-        self.port = self.reactor.listenTCP(self.timing.control[1], factory, interface=self.timing.control[0])
+        host, port = self.timing.control
+        self.port = self.reactor.listenTCP(port, factory, interface=host)
+        for member in self.members.values():
+            self.record("member", m=member.id, g=member.group.number, cores=self.timing.cores)
 
     def stop(self) -> None:
+        """Close all, and say so."""
+        self.close()
+        self.stopped()
+
+    def close(self) -> None:
         """Close all, and the record."""
         for member in self.members.values():
             if member.port is not None:
@@ -122,7 +130,6 @@
         if self.port is not None:
             self.port.stopListening()
         self.record.close()
-        self.stopped()
 
     # The list
 
--- a/sedgepitch/standins/member.py
+++ b/sedgepitch/standins/member.py
@@ -233,7 +233,7 @@
         """Whether it may take writes."""
         return self.group.primary is self
 
-    def received(self, connection: Served, message: Message, command: Document) -> None:
+    def received(self, connection: Served, message: Message, command: Document, first: bool = True) -> None:
         """Take a command off a connection; a member that stands still reads it later."""
         name = next(iter(command), "")
         if name == "hello":
@@ -241,11 +241,13 @@
             connection.driver = str((client.get("application") or {}).get("name", "")) or connection.driver
         if {"*", connection.driver} & self.trouble.cut:
             return
+        if first:
+            self._note_arrival(connection, command, name)
         still = self.trouble.still_until - self.now()
         if still > 0:
             life = self.life
-            again = lambda: self.received(connection, message, command) if life == self.life else None  # noqa: E731
-            self.reactor.callLater(min(still, 3600.0), again)
+            again = (connection, message, command, life)
+            self.reactor.callLater(min(still, 3600.0), self._received_late, *again)
             return
         if name == "hello":
             self._hello(connection, message)
@@ -260,6 +262,30 @@
         else:
             connection.reply(message, self._error(59, "CommandNotFound", f"no such command: '{name}'"))
 
+    def _received_late(self, connection: Served, message: Message, command: Document, life: int) -> None:
+        if life == self.life:
+            self.received(connection, message, command, first=False)
+
+    def _note_arrival(self, connection: Served, command: Document, name: str) -> None:
+        """Record a command when its bytes arrive, however long it then waits to be read."""
+        if name not in WRITES and name not in READS:
+            return
+        stages = command.get("pipeline") or [] if name == "aggregate" else []
+        command["$writes"] = name in WRITES or any("$out" in s or "$merge" in s for s in stages)
+        times = self.timing.write_work if command["$writes"] else self.timing.read_work
+        command["$work"] = self.random.uniform(times.least, times.most)
+        comment = command.get("comment")
+        command["$rid"] = str(comment.get("rid", "")) if isinstance(comment, dict) else ""
+        self.record(
+            "recv",
+            m=self.id,
+            g=self.group.number,
+            d=connection.driver,
+            rid=command["$rid"],
+            w=command["$writes"],
+            work=command["$work"],
+        )
+
     def _hello(self, connection: Served, message: Message) -> None:
         self.advance()
         primary = self.is_primary() or self.trouble.claims_primary
@@ -285,19 +311,12 @@
         )
 
     def _queue(self, connection: Served, message: Message, command: Document, name: str) -> None:
-        stages = command.get("pipeline") or [] if name == "aggregate" else []
-        writes = name in WRITES or any("$out" in s or "$merge" in s for s in stages)
-        times = self.timing.write_work if writes else self.timing.read_work
-        work = self.random.uniform(times.least, times.most)
-        comment = command.get("comment")
-        rid = str(comment.get("rid", "")) if isinstance(comment, dict) else ""
-        self.record(
-            "recv", m=self.id, d=connection.driver, rid=rid, w=writes, work=work, warm=round(self.warmth(), 3)
-        )
+        writes, work, rid = command["$writes"], command["$work"], command["$rid"]
         if self._falls_over(work):
             return
         if writes and not self.is_primary():
             self.record("role_told", m=self.id, d=connection.driver, primary=False)
+            self.record("away", m=self.id, rid=rid)
             connection.reply(message, self._error(10107, "NotWritablePrimary", "not primary"))
             return
         if not writes and not self.is_primary() and "$readPreference" not in command:
@@ -309,7 +328,7 @@
         elif len(self.waiting) < self.timing.waiting_room:
             self.waiting.append(job)
         else:
-            self.record("full", m=self.id, rid=rid)
+            self.record("away", m=self.id, rid=rid)
             error = self._error(462, "IngressRequestRateLimitExceeded", "the waiting room is full")
             labels = ["SystemOverloadedError", "RetryableError", "NoWritesPerformed"]
             connection.reply(message, {**error, "errorLabels": labels})
@@ -395,8 +414,13 @@
         """The optimes that go with an answer."""
         last = self.group.log[self.applied - 1] if self.applied else None
         stamp = bson.Timestamp(*(last.stamp if last else (0, 0)))
+        self_told = {"id": self.id, "applied": self.applied}  # for the audit: who answered, and from what
         signature = {"hash": bytes(20), "keyId": bson.Int64(0)}
-        return {"operationTime": stamp, "$clusterTime": {"clusterTime": stamp, "signature": signature}}
+        return {
+            "$member": self_told,
+            "operationTime": stamp,
+            "$clusterTime": {"clusterTime": stamp, "signature": signature},
+        }
 
     def _error(self, code: int, name: str, text: str) -> Document:
         return {"ok": 0.0, "errmsg": text, "code": code, "codeName": name, **self._times()}
