Hard cases on sockets, fuzzing of the front, and positions held against a model of truth

Need: each failure the wire path must survive gets a test, and the inference from optimes to positions must not claim more than a member has.

Change: tests end to end for lost replies with a stalling primary, own-reads behind lag, leaving clients, broken frames, members that answer wrongly, cursors of lost members, 10,000 connections opened and left, a reader that stops reading, an ordered end; hypothesis fuzzes codec and front; a model with skewed clocks, roll-backs and former primaries that have not heard of their end checks `decide/positions.py`. It found four faults, mended with tests: an older hello that comes late brought back a rolled back branch's optime; a write's answer of an earlier term named its member primary, or made a mark in a later term; a read's late answer raised an optime known better. A driver says `ready` only once it knows members.

--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -101,14 +101,15 @@
             counted=lambda kind: self.metrics.input_errors.labels(kind).inc(),
         )
         self.ports: list[Any] = []
+        self.ready: Callable[[], None] | None = None
 
     def _mark_age(self) -> float:
         """A mark serves until it is a quarter of the tightest bound old."""
         bounds = [c.max_age for c in self.settings.classes if c.freshness is api.Freshness.BOUNDED]
         return min(bounds, default=min(c.aim for c in self.settings.classes)) / 4.0
 
-    def start(self) -> tuple[str, int]:
-        """Open the listener; returns its address. Raises CannotListenError."""
+    def start(self, ready: Callable[[str, int], None]) -> None:
+        """Open the listener; `ready` hears its address once members are known. Raises CannotListenError."""
         listings = tuple(x for x in self.settings.listings() if x.member in self.members.addresses)
         remembered = self.list is not None
         self.engine.list_changed(api.Members(listings, complete=True, remembered=remembered))
@@ -138,7 +139,14 @@
             self.ports.append(self.reactor.listenTCP(port, Site(root), interface=host))
         self.clock.call_later(SWEEP, self._sweep)
         self.log.info("listening", address=f"{address.host}:{address.port}", pid=os.getpid())
-        return address.host, address.port
+        self.ready = lambda: ready(address.host, address.port)
+        if self.members.links:
+            self._say_ready()
+
+    def _say_ready(self) -> None:
+        ready, self.ready = self.ready, None
+        if ready is not None:
+            ready()
 
     def stop(self, done: Callable[[], None]) -> None:
         """End in order: no new connections or requests, what is owed answered, then all closed."""
@@ -166,6 +174,8 @@
         self.members.addresses.update(addresses)
         known = tuple(x for x in listings if x.member in self.members.addresses)
         self.engine.list_changed(api.Members(known, complete=complete))
+        if self.members.links:
+            self._say_ready()
         gone = {m for m, link in self.members.links.items() if m in self.engine.drained}
         if gone:
             self.log.info("list.drained", members=sorted(gone))
--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -65,12 +65,11 @@
 
     try:
         driver = Driver(reactor, settings, share_port=bool(worker))
-        host, port = driver.start()
+        driver.start(lambda host, port: click.echo(f"ready {host}:{port}"))
     except CannotListenError as error:
         raise click.ClickException(f"cannot listen on {error.interface}:{error.port}") from None
     except OSError as error:
         raise click.ClickException(f"cannot listen: {error.strerror}") from None
-    click.echo(f"ready {host}:{port}")
     _run(reactor, driver.stop)
 
 
--- a/sedgepitch/config/units.py
+++ b/sedgepitch/config/units.py
@@ -46,7 +46,7 @@
 
 Seconds = Annotated[
     float,
-    BeforeValidator(lambda v: v if isinstance(v, float) else seconds(v)),
+    BeforeValidator(seconds),
     PlainSerializer(lambda v: f"{v * 1000:g} ms"),
     _schema(r"^[0-9.]+ ?(us|ms|s|min|h)$", "200 ms"),
 ]
--- a/sedgepitch/decide/positions.py
+++ b/sedgepitch/decide/positions.py
@@ -91,6 +91,8 @@
     term: int = -1  # of its own newest log entry
     stamp: Stamp | None = None
     claims: int = -1  # the term in which it last called itself primary
+    since: float = 0.0  # when it was asked and first said so in that term
+    asked: float = float("-inf")  # when the newest question that it answered by hello was sent
 
 
 @dataclass(slots=True)
@@ -106,9 +108,12 @@
     def hello(self, member: int, sent: float, primary: bool, term: int, stamp: Stamp | None) -> Sighting:
         """Take a member's own report of role, term and last optime; `sent` is when it was asked."""
         known = self._member(member)
+        if sent < known.asked:  # an older answer that comes late: it may tell of a log since rolled back
+            return Sighting(None, None)
+        known.asked = sent
         if term > self.term:
             self._new_term(term)
-        known.term, known.stamp = max(known.term, term), stamp
+        known.term, known.stamp = term, stamp
         if not primary:
             known.claims = -1
             if self.holder == member:
@@ -116,7 +121,8 @@
             return Sighting(self._position(known), False)
         if term < self.term:  # a primary of the past, that has not heard of its end
             return Sighting(NOTHING_KNOWN, False)
-        known.claims = term
+        if known.claims != term:
+            known.claims, known.since = term, sent
         if self.holder is None and not self.contested:
             self.holder = member
         elif self.holder != member:
@@ -131,20 +137,25 @@
     def wrote(self, member: int, sent: float, stamp: Stamp | None) -> Sighting:
         """Take a write's good answer: its member is the primary, and its optime makes a mark."""
         known = self._member(member)
-        if self.contested or self.holder is None:
-            if known.claims >= 0 and known.claims < self.term:
-                return Sighting(None, None)
-            self.contested, self.holder, known.claims = False, member, self.term
-        if self.holder != member:
-            return Sighting(None, True)
+        if known.claims != self.term:
+            # An old answer, of a term that is over; or it has just taken over, and its hello will say so.
+            return Sighting(None, None if known.claims >= 0 else True)
+        if sent < known.since:  # it may have been primary of an earlier term, too
+            return Sighting(None, None)
+        if self.contested:
+            self.contested = False
+            for other in self.members.values():
+                if other is not known and other.claims == self.term:
+                    other.claims = -1
+        self.holder = member
         if stamp is not None and self._believed(stamp, sent):
             self.marks.add(sent, stamp)
         return Sighting(sent, True)
 
-    def read(self, member: int, stamp: Stamp | None) -> Sighting:
+    def read(self, member: int, sent: float, stamp: Stamp | None) -> Sighting:
         """Take the optime in a read's answer. It proves no role: a former primary answers reads, too."""
         known = self._member(member)
-        if stamp is not None and known.stamp is not None and stamp > known.stamp:
+        if stamp and known.stamp and stamp > known.stamp and sent >= known.asked:
             known.stamp = stamp
         if member == self.holder:
             return Sighting(None, None)
@@ -156,8 +167,7 @@
         if self.holder == member:
             self.holder = None
         claimants = [m for m, known in self.members.items() if known.claims == self.term]
-        if self.contested and len(claimants) == 1:
-            self.contested, self.holder = False, claimants[0]
+        self.contested = self.contested and len(claimants) > 1
 
     def position(self, member: int) -> float | None:
         """Return what the member's last optime proves by now, None where nothing is known of it."""
--- a/sedgepitch/fronts/mongo/member.py
+++ b/sedgepitch/fronts/mongo/member.py
@@ -385,7 +385,7 @@
             return AttemptEnd(
                 Result.OK, message, sighting.primary, self.clock.now(), Report(sighting.position, None)
             )
-        sighting = positions.read(member, facts.stamp)
+        sighting = positions.read(member, exchange.sent_at, facts.stamp)
         return AttemptEnd(Result.OK, message, report=Report(sighting.position, None))
 
     def _judge_error(
--- a/tests/culprit.py
+++ b/tests/culprit.py
@@ -44,10 +44,11 @@
 
 
 def trust_the_cold() -> None:
-    """Rule 4: a member that has just started is sent as much as any other, and its limit is never felt."""
+    """Rule 4: a member that has just started is sent as much as any other; silence is not felt."""
+    Router.distrust = lambda self, member, why: None
     Router.open_to = lambda self, member, request: member.state is State.UP
     Router.warmth = lambda self, member: 1.0
-    Router.may_send = lambda self, member, request, room=1.0: member.state is State.UP and not member.suspect
+    Router.may_send = lambda self, member, request, room=1.0: member.state is State.UP
     Router.busyness = lambda self, member: (-member.cold_from, 0.0)  # the newest first
 
 
--- /dev/null
+++ b/tests/front.py
@@ -0,0 +1,123 @@
+"""A front without sockets for the tests: client connections on string transports, members played by hand."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from importlib.resources import files
+from typing import Any
+
+import bson
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from sedgepitch import interface as api
+from sedgepitch.cli.daemon import group_finder
+from sedgepitch.config.load import parse
+from sedgepitch.core.clock import FakeClock
+from sedgepitch.core.engine import Engine
+from sedgepitch.core.types import AttemptEnd
+from sedgepitch.decide.cursors import CursorTable
+from sedgepitch.decide.positions import GroupPositions
+from sedgepitch.fronts.mongo import codec
+from sedgepitch.fronts.mongo.client import ClientConnection, Context
+from sedgepitch.policy import Router
+
+EXAMPLE = files("sedgepitch.config").joinpath("example.yaml").read_text()
+
+
+@dataclass
+class Sent:
+    """One attempt that a member holds."""
+
+    member: int
+    payload: Any
+    on_end: Any
+    abandoned: bool = False
+
+    def abandon(self) -> None:
+        self.abandoned = True
+
+    def answer(self, reply: dict | None = None, **fields) -> None:
+        """Let the member answer."""
+        body = bson.encode({"ok": 1.0, **(reply or {})})
+        message = codec.Message(1, 1, 0, body)
+        self.on_end(AttemptEnd(fields.pop("result", api.Result.OK), message, **fields))
+
+
+@dataclass
+class PlayedMembers:
+    """The members' side, played by the test."""
+
+    sent: list[Sent] = field(default_factory=list)
+    links: dict[int, Any] = field(default_factory=dict)
+    positions: dict[int, GroupPositions] = field(default_factory=lambda: {0: GroupPositions()})
+
+    def send(self, member, payload, on_end):
+        self.sent.append(Sent(member, payload, on_end))
+        return self.sent[-1]
+
+    def probe(self, member, on_end):
+        on_end(AttemptEnd(api.Result.OK, report=api.Report(0.0, False)))
+
+    def close_idle(self, member):
+        pass
+
+    def listed(self, listings, complete):
+        pass
+
+
+class Front:
+    """One engine with three members (1 is the primary), and any number of clients."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.task = Clock()
+        self.task.advance(1000.0)
+        self.clock = FakeClock(self.task)
+        self.members = PlayedMembers()
+        settings = parse(EXAMPLE, "example")
+        router = Router(settings.module_settings(), seed)
+        self.engine = Engine(router, self.members, self.clock)
+        listings = tuple(api.Listing(n, 0, api.State.UP, "north", n == 1) for n in (1, 2, 3))
+        self.engine.list_changed(api.Members(listings, complete=True))
+        self.context = Context(
+            engine=self.engine,
+            members=self.members,
+            clock=self.clock,
+            classifier=settings.classifier(),
+            cursors=CursorTable(100, 60.0, seed),
+            group_of=group_finder(settings),
+            answer_margin=0.01,
+            drain_grace=0.5,
+        )
+
+    def client(self) -> tuple[ClientConnection, StringTransport]:
+        """A client's connection."""
+        connection = ClientConnection(self.context, 1)
+        transport = StringTransport()
+        transport.setTcpNoDelay = lambda on: None
+        transport.abortConnection = transport.loseConnection
+        connection.makeConnection(transport)
+        return connection, transport
+
+    def turn(self, seconds: float = 0.0, times: int = 4) -> None:
+        """Let a few turns of the reactor pass, the first after that many seconds."""
+        self.task.advance(seconds)
+        for _ in range(times):
+            self.task.advance(0.0)
+
+
+def command(number: int, flags: int = 0, **fields) -> bytes:
+    """A framed command."""
+    fields.setdefault("$db", "sky")
+    return codec.build(bson.encode(fields), number, 0, flags)
+
+
+def replies(transport: StringTransport) -> list[tuple[int, dict]]:
+    """What the client was sent: (response_to, document)."""
+    data, out = transport.value(), []
+    while data:
+        length = int.from_bytes(data[:4], "little")
+        message = codec.parse(data[:length])
+        out.append((message.response_to, bson.decode(message.body)))
+        data = data[length:]
+    return out
--- /dev/null
+++ b/tests/test_classify.py
@@ -0,0 +1,107 @@
+"""Classes, their variants, cursors: the pure halves of the front's decisions."""
+
+from __future__ import annotations
+
+import pytest
+
+from sedgepitch import interface as api
+from sedgepitch.decide.classify import Classifier, Facts, Rule, variants
+from sedgepitch.decide.cursors import CursorTable, may_go_on
+from sedgepitch.interface import Effect, Freshness
+from tests.helpers import make_class
+
+CLASSES = (
+    make_class("upload", Freshness.WRITE, effect=Effect.KEYED, window=1.2),
+    make_class("map", Freshness.BOUNDED, max_age=0.5),
+    make_class("old", Freshness.ANY),
+    make_class("own", Freshness.SESSION),
+    make_class("now", Freshness.FRESH),
+)
+READ = Facts("sky", "readings", "find", False)
+WRITE = Facts("sky", "readings", "insert", True)
+
+
+def facts(**changes) -> Facts:
+    fields = {name: getattr(READ, name) for name in Facts.__slots__}
+    return Facts(**{**fields, **changes})
+
+
+@pytest.mark.parametrize(
+    ("name", "asked", "age", "placed", "session_age"),
+    [
+        ("map", {}, None, "map", 0.0),
+        ("map", {"read_concern": "linearizable"}, None, "map/fresh", 0.0),
+        ("map", {"read_preference": "primary"}, None, "map/fresh", 0.0),
+        ("map", {}, 0.05, "map/session", 0.05),
+        ("map", {}, 0.9, "map/session", 0.2),  # the bound counts from when it may last be sent
+        ("map", {"max_staleness": 90.0}, None, "map", 0.0),
+        ("old", {"max_staleness": 90.0}, None, "old/session", 89.7),
+        ("old", {"max_staleness": 0.1}, None, "old/fresh", 0.0),
+        ("old", {}, 0.4, "old/session", 0.4),
+        ("own", {}, None, "own", 0.0),
+        ("own", {}, 0.4, "own", 0.4),
+        ("now", {}, 0.4, "now", 0.0),
+    ],
+)
+def test_the_strictest_of_class_and_client_decides(name, asked, age, placed, session_age):
+    classifier = Classifier(CLASSES, [])
+    got = classifier.place(classifier.classes[name], facts(**asked), 0.3, age)
+    assert got.class_name == placed
+    assert got.session_age == pytest.approx(session_age)
+    assert got.class_name in {c.name for c in variants(CLASSES)}
+
+
+def test_a_write_never_goes_the_way_of_reads_nor_a_read_that_of_writes():
+    classifier = Classifier(CLASSES, [Rule("map"), Rule("upload")])
+    assert classifier.find(WRITE).name == "upload"
+    assert classifier.find(READ).name == "map"
+    assert Classifier(CLASSES, [Rule("map")]).find(WRITE) is None
+
+
+def test_rules_match_in_order_and_comments_do_not_grow_the_cache():
+    classifier = Classifier(CLASSES, [Rule("old", comment="history*"), Rule("map", collection="read*")])
+    assert classifier.find(facts(comment="history of 1998")).name == "old"
+    assert classifier.find(facts(collection="other")) is None
+    for n in range(10_000):
+        classifier.find(facts(comment=str(n)))
+    assert len(classifier._cache) <= 4096
+
+
+def test_unknown_class_in_a_rule_is_refused():
+    with pytest.raises(ValueError, match="'maps'"):
+        Classifier(CLASSES, [Rule("maps")])
+
+
+def test_unsafe_variant_of_keyed_writes_alone_drops_the_key():
+    made = {c.name: c for c in variants(CLASSES)}
+    assert made["upload/unsafe"].effect is api.Effect.UNSAFE
+    assert "map/unsafe" not in made
+
+
+def test_two_members_cursors_of_one_id_do_not_meet():
+    table = CursorTable(10, 60.0, 1)
+    first, _ = table.opened(1, 1001, "sky.a", 0.0)
+    second, _ = table.opened(2, 1001, "sky.a", 0.0)
+    assert first.id != second.id
+    assert table.use(first.id, "sky.a", 1.0).member == 1
+    assert table.use(second.id, "sky.a", 1.0).member == 2
+    assert table.use(first.id, "sky.b", 1.0) is None
+    assert table.use(1001, "sky.a", 1.0) is None
+
+
+def test_the_table_is_bounded_and_idle_cursors_end():
+    table = CursorTable(3, 60.0, 1)
+    opened = [table.opened(1, n, "sky.a", float(n))[0] for n in range(3)]
+    table.use(opened[0].id, "sky.a", 5.0)
+    _, ended = table.opened(1, 9, "sky.a", 6.0)
+    assert [c.member_id for c in ended] == [1]
+    assert [c.member_id for c in table.expire(64.0)] == [2]
+    assert table.use(opened[0].id, "sky.a", 70.0) is None
+    assert len(table.end_where(lambda c: c.member == 1)) == 2
+    assert not table.cursors
+
+
+def test_a_draining_member_is_not_sent_batches_beyond_half_its_grace():
+    assert may_go_on(None, 0.5, 10.0)
+    assert may_go_on(9.9, 0.5, 10.0)
+    assert not may_go_on(9.7, 0.5, 10.0)
--- /dev/null
+++ b/tests/test_engine.py
@@ -0,0 +1,130 @@
+"""The engine's one final answer, whatever comes in whatever order."""
+
+from __future__ import annotations
+
+from sedgepitch import interface as api
+from sedgepitch.core.types import Command, Verdict
+from sedgepitch.interface import Result
+from tests.front import Front
+
+
+def ask(front, class_name="upload", time_left=1.0):
+    got = []
+    account = front.engine.submit(Command(class_name, 0, time_left, "payload"), got.append)
+    front.turn()
+    return account, got
+
+
+def test_answer_in_the_same_turn_as_the_deadline_is_given_once():
+    front = Front()
+    _, got = ask(front)
+    front.task.advance(1.0)  # the time is up in this turn, and the answer comes in it, too
+    front.members.sent[0].answer()
+    front.turn(0.1)
+    assert len(got) == 1
+    front = Front()
+    _, got = ask(front)
+    front.clock.call_later(1.0 - 1e-9, front.members.sent[0].answer)
+    front.turn(1.0)
+    assert [a.verdict for a in got] == [Verdict.SERVED]
+    assert front.engine.ledger.twice == front.engine.overdue == 0
+
+
+def test_both_copies_of_a_hedged_read_answer_and_one_is_heard():
+    front = Front()
+    for member in (2, 3):
+        report = api.Report(front.clock.now(), False)
+        front.engine.feed(api.Probed(member, Result.OK, 0.001, report))
+    _, got = ask(front, "map-read")
+    while len(front.members.sent) < 2 and front.clock.now() < 1000.95:
+        front.turn(0.01)
+    assert len(front.members.sent) == 2, "the overdue read was not copied"
+    for sent in list(front.members.sent):
+        sent.answer()
+        front.turn()
+    assert [a.verdict for a in got] == [Verdict.SERVED]
+    assert not front.engine.ledger.accounts
+
+
+def test_unsafe_write_without_an_answer_fails_and_is_not_sent_again():
+    front = Front()
+    _, got = ask(front, "note")
+    assert [s.member for s in front.members.sent] == [1]
+    front.turn(1.0)
+    front.turn(0.05)
+    assert [a.verdict for a in got] == [Verdict.FAILED]
+    assert len(front.members.sent) == 1
+    assert front.members.sent[0].abandoned
+
+
+def test_write_that_never_ran_is_refused_in_time():
+    front = Front()
+    _, got = ask(front, "note", 0.5)
+    while not got and front.clock.now() < 1000.6:
+        for sent in front.members.sent:
+            if not sent.abandoned:
+                sent.abandoned = True
+                sent.answer(result=Result.MISS, primary=False)
+        front.turn(0.01)
+    assert [a.verdict for a in got] == [Verdict.REFUSED]
+    assert front.clock.now() <= 1000.51
+
+
+def test_client_that_leaves_gets_nothing_and_its_attempt_is_still_heard():
+    front = Front()
+    account, got = ask(front)
+    front.engine.gone(account)
+    front.turn()
+    front.members.sent[0].answer()
+    front.turn()
+    assert not got
+    assert not front.engine.ledger.accounts
+    assert not front.engine.router.members[1].out
+
+
+def test_client_that_leaves_in_the_turn_it_asked_leaves_no_trace():
+    front = Front()
+    got = []
+    account = front.engine.submit(Command("upload", 0, 1.0, "payload"), got.append)
+    front.engine.gone(account)
+    front.turn()
+    assert not got
+    assert not front.members.sent
+    assert not front.engine.ledger.accounts
+    assert not any(m.out for m in front.engine.router.members.values())
+
+
+def test_last_guard_answers_where_the_module_does_not():
+    front = Front()
+    front.engine._carry = {kind: lambda action: None for kind in front.engine._carry}
+    _, got = ask(front)
+    front.turn(1.0)
+    front.turn(0.1)
+    assert [a.verdict for a in got] == [Verdict.REFUSED]
+    assert front.engine.overdue == 1
+
+
+def test_more_in_flight_than_the_bound_are_refused_at_once():
+    front = Front()
+    front.engine.most_in_flight = 3
+    answers = [ask(front)[1] for _ in range(5)]
+    assert [len(a) for a in answers] == [0, 0, 0, 1, 1]
+    assert answers[4][0].verdict is Verdict.REFUSED
+
+
+def test_events_of_one_turn_are_read_before_a_timer_that_came_due_with_them():
+    front = Front()
+    _, got = ask(front)
+    seen = []
+    handle = front.engine.router.handle
+
+    def watched(now, events):
+        seen.append([type(event).__name__ for event in events])
+        return handle(now, events)
+
+    front.engine.router.handle = watched
+    front.engine.feed(api.Timer(1))
+    front.members.sent[0].answer()
+    front.turn()
+    assert seen[0] == ["Timer", "Finished"]
+    assert got[0].verdict is Verdict.SERVED
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,199 @@
+"""The client's side of the MongoDB front: frames in any shape, order, bounds, and bad input."""
+
+from __future__ import annotations
+
+import struct
+
+import bson
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sedgepitch.fronts.mongo import codec
+from sedgepitch.fronts.mongo.codec import WireError
+from tests.front import Front, command, replies
+
+PING = command(7, ping=1)
+
+
+def insert(number: int, flags: int = 0, **fields) -> bytes:
+    return command(number, flags, insert="readings", documents=[{"_id": number}], **fields)
+
+
+def test_single_bytes_and_pipelined_commands_are_answered_in_order():
+    front = Front()
+    connection, transport = front.client()
+    for byte in command(1, ping=1) + command(2, hello=1) + command(3, buildInfo=1):
+        connection.dataReceived(bytes([byte]))
+        front.turn()
+    connection.dataReceived(b"".join(command(n, ping=1) for n in range(4, 40)))
+    front.turn(times=80)
+    assert [number for number, _ in replies(transport)] == list(range(1, 40))
+
+
+@pytest.mark.parametrize("length", [0, -1, 15, 48_000_001, 2**31 - 1])
+def test_frame_lengths_that_cannot_be_end_the_connection_alone(length):
+    front = Front()
+    connection, transport = front.client()
+    other, other_transport = front.client()
+    connection.dataReceived(struct.pack("<iiii", length, 1, 0, 2013) + b"x" * 100)
+    front.turn()
+    assert transport.disconnecting
+    assert connection._held == 0
+    other.dataReceived(PING)
+    front.turn()
+    assert replies(other_transport)[0][1]["ok"] == 1.0
+
+
+def test_checksum_is_verified_and_made():
+    front = Front()
+    connection, transport = front.client()
+    frame = command(1, codec.CHECKSUM, ping=1)
+    connection.dataReceived(frame)
+    front.turn()
+    assert codec.parse(transport.value()).flags & codec.CHECKSUM
+    connection.dataReceived(frame[:-1] + bytes([frame[-1] ^ 1]))
+    assert transport.disconnecting
+
+
+def test_unacknowledged_write_gets_no_reply_and_closes_its_account():
+    front = Front()
+    connection, transport = front.client()
+    connection.dataReceived(insert(1, codec.MORE_TO_COME))
+    front.turn()
+    assert front.engine.ledger.owed == 1
+    front.members.sent[0].answer({"n": 1})
+    front.turn()
+    assert front.engine.ledger.owed == 0
+    assert transport.value() == b""
+    connection.dataReceived(PING)
+    front.turn()
+    assert [number for number, _ in replies(transport)] == [7]
+
+
+def test_a_write_without_a_key_is_unsafe_whatever_its_class_says():
+    front = Front()
+    connection, _ = front.client()
+    connection.dataReceived(insert(1))
+    front.turn()
+    account = next(iter(front.engine.ledger.accounts.values()))
+    assert account.command.class_name == "upload/unsafe"
+    keyed, _ = front.client()
+    lsid = {"id": bson.Binary(bytes(16), 4)}
+    keyed.dataReceived(insert(2, lsid=lsid, txnNumber=bson.Int64(1)))
+    front.turn()
+    assert [a.command.class_name for a in front.engine.ledger.accounts.values()][1] == "upload"
+
+
+def test_what_a_client_sends_ahead_is_bounded_and_one_that_does_not_read_is_not_asked_for_more():
+    front = Front()
+    connection, transport = front.client()
+    connection.dataReceived(insert(1))
+    front.turn()
+    connection.dataReceived(command(2, ping=1, pad="x" * 300_000))
+    assert transport.producerState == "paused"
+    front.members.sent[0].answer()
+    front.turn()
+    assert transport.producerState == "producing"
+    transport.producer.pauseProducing()  # the client does not take its answers
+    connection.dataReceived(PING)
+    front.turn()
+    before = len(replies(transport))
+    connection.dataReceived(PING * 10)
+    front.turn()
+    assert len(replies(transport)) == before
+    transport.producer.resumeProducing()
+    front.turn(times=40)
+    assert len(replies(transport)) == before + 11 - (before == 3)
+
+
+def test_refused_and_failed_say_so_to_a_stock_client():
+    front = Front()
+    connection, transport = front.client()
+    connection.dataReceived(command(1, insert="readings", documents=[{}], maxTimeMS=100))
+    front.turn()
+    front.turn(0.1)
+    front.turn(0.1)
+    failed = replies(transport)[0][1]
+    assert (failed["ok"], failed["code"], "errorLabels" in failed) == (0.0, 50, False)
+    front.engine.stopping = True
+    connection.dataReceived(command(2, insert="readings", documents=[{}]))
+    front.turn()
+    refused = replies(transport)[1][1]
+    assert {"RetryableError", "SystemOverloadedError", "NoWritesPerformed"} <= set(refused["errorLabels"])
+
+
+def test_read_at_a_replica_says_that_it_may_be_read_there_and_is_else_unchanged():
+    front = Front()
+    connection, _ = front.client()
+    connection.dataReceived(command(1, find="history", filter={"v": 1}, comment="history-read"))
+    front.turn()
+    body = bson.decode(codec.parse(codec.build_raw(front.members.sent[0].payload.sections(), 1, 0)).body)
+    assert body.pop("$readPreference") == {"mode": "primaryPreferred"}
+    assert body == {"find": "history", "filter": {"v": 1}, "comment": "history-read", "$db": "sky"}
+
+
+def bad_answers() -> st.SearchStrategy[bytes]:
+    """Valid frames, damaged; and plain noise."""
+    good = st.sampled_from([PING, insert(1), command(3, find="x", filter={"a": {"b": [1, {"c": 2}]}})])
+    damaged = st.builds(
+        lambda frame, at, byte: frame[: at % len(frame)] + bytes([byte]) + frame[at % len(frame) + 1 :],
+        good,
+        st.integers(0, 500),
+        st.integers(0, 255),
+    )
+    packed = st.builds(
+        lambda kind, size, data: codec.HEADER.pack(25 + len(data), 1, 0, codec.OP_COMPRESSED)
+        + struct.pack("<iiB", codec.OP_MSG, size, kind)
+        + data,
+        st.integers(0, 5),
+        st.integers(-5, 2**31 - 1),
+        st.binary(max_size=60),
+    )
+    framed = st.builds(
+        lambda opcode, data: codec.HEADER.pack(16 + len(data), 1, 0, opcode) + data,
+        st.sampled_from([codec.OP_MSG, codec.OP_QUERY, codec.OP_COMPRESSED, 1, 99]),
+        st.binary(max_size=80),
+    )
+    return st.one_of(damaged, packed, framed, st.binary(min_size=1, max_size=100))
+
+
+@settings(max_examples=400, deadline=None)
+@given(st.lists(bad_answers(), min_size=1, max_size=4), st.integers(1, 40))
+def test_no_input_ends_the_process_or_hurts_another_client(chunks, cut):
+    front = Front()
+    connection, transport = front.client()
+    other, other_transport = front.client()
+    other.dataReceived(insert(5))
+    front.turn()
+    data = b"".join(chunks)
+    for at in range(0, len(data), cut):
+        if not transport.disconnecting:
+            connection.dataReceived(data[at : at + cut])
+        front.turn()
+    assert connection._held <= len(data)
+    front.members.sent[0].answer({"n": 1})
+    front.turn()
+    assert replies(other_transport) == [(5, {"ok": 1.0, "n": 1})]
+    assert front.engine.ledger.twice == 0
+
+
+@settings(max_examples=300, deadline=None)
+@given(bad_answers())
+def test_the_codec_raises_its_own_error_and_no_other(frame):
+    if len(frame) >= 16:
+        try:
+            codec.parse(frame)
+        except WireError as error:
+            assert "\n" not in str(error)
+
+
+@pytest.mark.parametrize("compressor", [1, 2, 3])
+def test_compressed_frames_round_trip_and_bombs_are_refused(compressor):
+    frame = command(9, ping=1, pad="smoke " * 50)
+    packed = codec.compress(frame, compressor)
+    assert codec.parse(packed).body == codec.parse(frame).body
+    bomb = codec.compress(codec.build_raw(bytes(5_000_000), 1, 0), compressor)
+    lying = bomb[:20] + struct.pack("<i", 100) + bomb[24:]
+    with pytest.raises(WireError):
+        codec.parse(lying)
--- /dev/null
+++ b/tests/test_positions.py
@@ -0,0 +1,226 @@
+"""Positions by optimes and marks, held against a model that knows the truth."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import event, given, settings
+from hypothesis import strategies as st
+
+from sedgepitch.decide.positions import LEAP, MOST_MARKS, NOTHING_KNOWN, GroupPositions, Marks
+
+
+def test_an_idle_primary_keeps_a_replica_fresh_that_has_everything():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    group.hello(2, 10.1, False, 1, (5, 1))
+    assert group.position(2) == 10.0
+    for second in range(11, 60):
+        group.hello(1, float(second), True, 1, (5, 1))
+        assert group.position(2) == float(second)
+
+
+def test_a_replica_that_lags_is_as_old_as_the_mark_it_has_reached():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    group.wrote(1, 11.0, (6, 1))
+    group.wrote(1, 12.0, (7, 1))
+    assert group.hello(2, 12.5, False, 1, (6, 3)).position == 11.0
+    assert group.hello(2, 12.6, False, 1, (7, 1)).position == 12.0
+    assert group.hello(3, 12.6, False, 1, (4, 9)).position == NOTHING_KNOWN
+
+
+def test_answers_in_any_order_make_no_stronger_marks():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    group.wrote(1, 20.0, (8, 1))  # a later question with a later optime is heard first
+    group.wrote(1, 15.0, (9, 1))  # an earlier question, answered late: useless
+    assert group.hello(2, 21.0, False, 1, (8, 1)).position == 20.0
+    assert group.marks.reached((9, 5)) == 20.0
+
+
+def test_a_former_primary_proves_nothing_after_a_newer_term_is_seen():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    group.hello(2, 10.0, False, 1, (5, 1))
+    group.hello(3, 11.0, True, 2, (6, 1))
+    assert group.hello(1, 12.0, True, 1, (9, 9)).primary is False
+    assert group.position(2) == NOTHING_KNOWN  # its log may be the old one's
+    assert group.hello(2, 12.0, False, 2, (6, 1)).position == 11.0
+
+
+def test_an_old_terms_write_answered_late_names_no_primary():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    group.hello(3, 11.0, True, 2, (6, 1))
+    assert group.wrote(1, 10.5, (5, 9)).primary is None
+    assert group.marks.newest() == (11.0, (6, 1))
+
+
+def test_a_primary_elected_again_is_not_believed_on_what_it_took_in_its_first_term():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    group.hello(3, 11.0, True, 2, (6, 1))
+    group.hello(1, 12.0, True, 3, (7, 1))
+    assert group.wrote(1, 10.5, (5, 9)).primary is None
+    assert group.marks.newest() == (12.0, (7, 1))
+
+
+def test_an_older_hello_that_comes_late_tells_nothing():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    assert group.hello(1, 9.0, False, 1, (4, 1)).primary is None
+    assert group.holder == 1
+
+
+def test_two_claims_of_one_term_are_settled_by_a_write_alone():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    assert group.hello(2, 10.5, True, 1, (4, 1)).primary is None
+    assert group.contested
+    assert group.hello(1, 10.6, True, 1, (5, 1)).primary is None
+    assert group.position(2) == NOTHING_KNOWN
+    group.turned_away(2)
+    group.wrote(1, 11.0, (6, 1))
+    assert group.holder == 1
+    assert group.hello(1, 12.0, True, 1, (6, 1)).primary is True
+
+
+def test_an_optime_far_ahead_of_the_log_is_not_believed():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    assert group.hello(2, 10.0, False, 1, (5 + int(LEAP) + 1, 1)).position == NOTHING_KNOWN
+    group.wrote(1, 11.0, (5 + int(LEAP) + 100, 1))
+    assert group.marks.newest() == (10.0, (5, 1))
+
+
+def test_a_session_needs_the_first_mark_that_shows_its_write():
+    group = GroupPositions()
+    group.hello(1, 10.0, True, 1, (5, 1))
+    group.wrote(1, 11.0, (6, 1))
+    assert group.session_need((5, 9), 12.0) == 11.0
+    assert group.session_need((6, 2), 12.0) == 12.0  # a write that no mark shows: nobody can have it
+    assert group.session_need((2**31, 1), 12.0) == 12.0
+
+
+def test_marks_stay_few():
+    marks = Marks()
+    for n in range(10 * MOST_MARKS):
+        marks.add(float(n), (n, 1))
+    assert len(marks.stamps) <= MOST_MARKS
+    assert marks.reached((10 * MOST_MARKS, 1)) == 10 * MOST_MARKS - 1
+
+
+@given(st.lists(st.tuples(st.integers(0, 30), st.integers(0, 30)), max_size=40), st.integers(0, 31))
+def test_marks_answer_as_a_plain_list_would(pairs, asked):
+    marks = Marks()
+    for at, stamp in pairs:
+        marks.add(float(at), (stamp, 0))
+    plain = [float(at) for at, stamp in pairs if stamp <= asked]
+    assert marks.reached((asked, 0)) == (max(plain) if plain else None)
+    assert marks.stamps == sorted(set(marks.stamps))
+    assert marks.last == sorted(marks.last)
+
+
+class Truth:
+    """A group with skewed clocks, lagging replicas, failovers, and former primaries that have not heard.
+
+    Such a one goes on taking writes on a branch of its own, which some replicas follow; when it hears of its
+    end it gives the branch up, and so do they.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng, self.now, self.term, self.primary = rng, 100.0, 1, 0
+        self.skew = [rng.uniform(-20.0, 20.0) for _ in range(4)]
+        self.logs: list[list[tuple]] = [[] for _ in range(4)]  # own: (stamp, term, committed at)
+        self.former: dict[int, int] = {}  # who still believes to be primary, and of which term
+        self.commit(0, 1)
+
+    def commit(self, member: int, term: int) -> tuple:
+        """A write at a primary; its stamp follows its own clock, and only grows."""
+        log = self.logs[member]
+        stamp = (max(0, int(self.now + self.skew[member])), 1)
+        if log and log[-1][0] >= stamp:
+            stamp = (log[-1][0][0], log[-1][0][1] + 1)
+        log.append((stamp, term, self.now))
+        return stamp
+
+    def claims(self, member: int) -> int | None:
+        """The term in which a member believes to be primary."""
+        return self.term if member == self.primary else self.former.get(member)
+
+    def replicate(self, member: int) -> None:
+        """A replica takes some of a primary's log and gives up what differs; a former primary hears of it."""
+        if member == self.primary:
+            return
+        self.former.pop(member, None)
+        newest = self.logs[member][-1][1] if self.logs[member] else 0
+        able = [m for m, term in self.former.items() if term >= newest]  # nobody goes back to an older term
+        follow = self.rng.choice([self.primary, self.primary, *able])
+        source, own = self.logs[follow], self.logs[member]
+        same = 0
+        while same < min(len(source), len(own)) and source[same] == own[same]:
+            same += 1
+        self.logs[member] = source[: same + self.rng.randrange(4)]
+
+    def fail_over(self) -> None:
+        """Another member takes over with what it has; a new term begins with an entry of its own."""
+        if self.rng.random() < 0.6:
+            self.former[self.primary] = self.term
+        self.primary = self.rng.choice([m for m in range(4) if m != self.primary])
+        self.former.pop(self.primary, None)
+        self.term += 1
+        self.commit(self.primary, self.term)
+
+    def surviving(self) -> list[tuple]:
+        """The log that counts: the primary's."""
+        return self.logs[self.primary]
+
+
+@settings(max_examples=1500, deadline=None)
+@given(st.integers(0, 2**32), st.integers(20, 150))
+def test_no_position_claims_more_than_the_member_has(seed, steps):
+    rng = random.Random(seed)
+    truth, group = Truth(rng), GroupPositions()
+    late: list[tuple] = []  # answers under way: (kind, member, sent, primary then, term, stamp, its log then)
+    claims, greeted = 0, set()
+    for _ in range(steps):
+        truth.now += rng.uniform(0.0, 0.5)
+        draw = rng.random()
+        member = rng.randrange(4)
+        if draw < 0.3:
+            at = rng.choice([truth.primary, *truth.former])
+            late.append(
+                ("wrote", at, truth.now, True, truth.claims(at), truth.commit(at, truth.claims(at)), None)
+            )
+        elif draw < 0.55:
+            truth.replicate(member)
+        elif draw < 0.97:
+            # Half of the questions are reads, whose answers tell no term and no role.
+            # A member is asked now and reads its state now; its answer may arrive much later.
+            log = truth.logs[member]
+            if log:
+                stamp, term, _ = log[-1]
+                primary = truth.claims(member) is not None
+                asked = (member, truth.now, primary, term, stamp, frozenset(log))
+                late.append((rng.choice(["hello", "read"]), *asked))
+        else:
+            truth.fail_over()
+        rng.shuffle(late)
+        while late and rng.random() < 0.6:
+            kind, who, sent, primary, term, stamp, held = late.pop()
+            if kind == "wrote":
+                if (who, term) in greeted:  # a connection says hello before it carries a write
+                    group.wrote(who, sent, stamp)
+                continue
+            if kind == "read":
+                told = group.read(who, sent, stamp)
+            else:
+                told = group.hello(who, sent, primary, term, stamp)
+            greeted |= {(who, term)} if primary and kind == "hello" else set()
+            if told.primary is True or told.position in (None, NOTHING_KNOWN) or group.term < truth.term:
+                continue  # a driver that has not heard of the newest term cannot know better
+            needed = {entry for entry in truth.surviving() if entry[2] <= told.position}
+            assert needed <= (held if kind == "hello" else set(truth.logs[who]))
+            claims += bool(needed)
+    event(f"claims: {min(claims, 5)}")
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,226 @@
+"""The hard cases end to end: real sockets, a driver process, stand-in members."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import resource
+import socket
+import struct
+import time
+from pathlib import Path
+
+import bson
+import pymongo
+import pytest
+from pymongo.errors import PyMongoError
+
+from sedgepitch.fronts.mongo import codec
+from tests.front import command
+
+WITHIN = 30.0  # s; generous, no test waits for it unless something is broken
+
+
+def connect(stage, name: str | None = None) -> socket.socket:
+    held = socket.create_connection(stage.addresses[name or next(iter(stage.addresses))], timeout=WITHIN)
+    held.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return held
+
+
+def receive(held: socket.socket) -> dict:
+    """One reply; an empty one where the driver hung up."""
+    data = b""
+    while len(data) < 4 or len(data) < struct.unpack_from("<i", data)[0]:
+        try:
+            more = held.recv(65536)
+        except ConnectionError:
+            more = b""
+        if not more:
+            return {}
+        data += more
+    return bson.decode(codec.parse(data).body)
+
+
+def ask(held: socket.socket, number: int = 1, **fields) -> dict:
+    held.sendall(command(number, **fields))
+    return receive(held)
+
+
+def records(stage, kind: str) -> list[dict]:
+    """What the members recorded so far; the fleet is stopped first, so that all is written."""
+    stage.control.ask("quit")
+    stage.fleet.process.wait(timeout=WITHIN)
+    lines = Path(stage.record).read_text().splitlines()
+    return [r for r in map(json.loads, lines) if r["e"] == kind]
+
+
+def wait_for(test, what: str) -> None:
+    end = time.monotonic() + WITHIN
+    while not test():
+        assert time.monotonic() < end, what
+        time.sleep(0.05)
+
+
+def primary_of(stage) -> int | None:
+    return next((m["id"] for m in stage.members() if m["primary"] and m["alive"]), None)
+
+
+def insert(held, rid: str, number: int = 1, **fields) -> dict:
+    document = {"_id": rid}
+    return ask(held, number, insert="log", documents=[document], comment={"rid": rid}, **fields)
+
+
+def test_upload_applied_reply_lost_and_the_primary_stalls(rough):
+    rough.driver("one")
+    with connect(rough) as held:
+        assert insert(held, "before")["ok"] == 1
+        rough.fault("lose_reply", when="write", then={"do": "hang", "for": 4})
+        lsid = {"id": bson.Binary(bytes(16), 4)}
+        answer = insert(held, "keyed", 2, lsid=lsid, txnNumber=bson.Int64(1), maxTimeMS=1500)
+        assert answer["ok"] == 1 or "errorLabels" not in answer  # served by the repeat, or an honest failure
+    commits = [r for r in records(rough, "commit") if r["rid"] == "keyed"]
+    assert len(commits) == 1
+
+
+def test_unsafe_write_whose_reply_is_lost_is_sent_once(rough):
+    rough.driver("one")
+    with connect(rough) as held:
+        rough.fault("lose_reply", when="write", then={"do": "hang", "for": 4})
+        answer = insert(held, "unsafe", 2, maxTimeMS=800)
+        assert (answer["ok"], answer["code"]) == (0, 50)
+    assert [r["rid"] for r in records(rough, "recv") if r["w"]] == ["unsafe"]
+
+
+def test_own_read_is_not_served_by_a_replica_behind_that_sessions_write(rough):
+    rough.driver("one")
+    host, port = rough.addresses["one"]
+    with pymongo.MongoClient(host, port) as client, client.start_session() as session:
+        rows = client.sky.own
+        rows.insert_one({"_id": 0, "v": 0}, session=session)
+        for member in range(2, 7):
+            rough.fault("lag", member=member, factor=100000)
+        seen = 0
+        for n in range(1, 30):
+            rows.update_one({"_id": 0}, {"$set": {"v": n}}, session=session)
+            try:
+                assert rows.find_one({"_id": 0}, session=session, comment="own-read")["v"] == n
+                seen += 1
+            except PyMongoError as error:
+                assert error.has_error_label("NoWritesPerformed"), error
+        assert seen
+
+
+def test_client_that_leaves_with_a_write_in_flight(rough):
+    rough.driver("one")
+    rough.fault("slow", factor=100)
+    with connect(rough) as held:
+        held.sendall(command(1, insert="log", documents=[{"_id": 1}], comment={"rid": "left"}))
+        wait_for(lambda: sum(m["connections"] for m in rough.members()) > 0, "the write was never sent on")
+    with connect(rough) as held:
+        assert insert(held, "after", maxTimeMS=2000)["ok"] == 1
+    assert [r["rid"] for r in records(rough, "commit")] == ["left", "after"]
+
+
+def test_broken_frames_end_their_connection_and_no_other(calm):
+    with connect(calm) as bystander:
+        good = command(1, ping=1)
+        truncated = codec.build(bson.encode({"ping": 1, "$db": "a"})[:-4], 1, 0)
+        bad = [struct.pack("<iiii", n, 1, 0, 2013) + bytes(40) for n in (0, -1, 15, 48_000_001)]
+        for frame in [*bad, truncated, good[:12] + struct.pack("<i", 4242) + good[16:]]:
+            with connect(calm) as held:
+                held.sendall(frame)
+                assert receive(held) == {}
+        assert ask(bystander, ping=1)["ok"] == 1
+
+
+def test_single_bytes_and_pipelined_requests(calm):
+    with connect(calm) as held:
+        for byte in command(1, ping=1):
+            held.sendall(bytes([byte]))
+        assert receive(held)["ok"] == 1
+        held.sendall(b"".join(command(n, find="nothing", comment="history-read") for n in range(2, 30)))
+        data = b""
+        while data.count(b"firstBatch") < 28:
+            data += held.recv(65536)
+        order = []
+        while data:
+            length = struct.unpack_from("<i", data)[0]
+            order.append(codec.parse(data[:length]).response_to)
+            data = data[length:]
+        assert order == list(range(2, 30))
+
+
+def test_a_reader_that_stops_reading_costs_no_memory(rough):
+    host, port = rough.driver("one")
+    with pymongo.MongoClient(host, port) as client:
+        client.sky.big.insert_many([{"_id": n, "pad": "x" * 100_000} for n in range(20)])
+    pid = rough.drivers["one"].process.pid
+
+    def resident() -> int:
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * resource.getpagesize()
+
+    with connect(rough) as held:
+        before = resident()
+        ahead = command(1, find="big", comment="history-read")
+        held.settimeout(2.0)
+        try:
+            for _ in range(600):  # 60 MB, more than any socket buffer here
+                held.sendall(ahead * 1000)
+        except TimeoutError:
+            pass  # the driver stopped reading: that is the point
+        else:
+            pytest.fail("the driver took all that was sent ahead")
+        with connect(rough) as other:
+            assert ask(other, ping=1)["ok"] == 1
+        assert resident() - before < 64_000_000
+
+
+@pytest.mark.parametrize("trouble", ["wrong_reply", "twice", "cut_reply", "reset"])
+def test_members_that_answer_wrongly_lose_the_connection_and_no_request(rough, trouble):
+    rough.driver("one")
+    with connect(rough) as held:
+        for member in range(1, 7):
+            rough.fault(trouble, member=member, when="read", count=2)
+        for n in range(30):
+            answer = ask(held, n + 1, find="log", comment="history-read")
+            assert answer["ok"] == 1 or "NoWritesPerformed" in answer["errorLabels"]
+        number = itertools.count(100)
+        served = lambda: ask(held, next(number), find="log", comment="history-read")["ok"] == 1  # noqa: E731
+        wait_for(served, "no read was served after the trouble")
+
+
+def test_a_cursor_ends_with_its_member(rough):
+    rough.driver("one")
+    with connect(rough) as held:
+        rows = [{"_id": n} for n in range(300)]
+        assert ask(held, 1, insert="rows", documents=rows)["n"] == 300
+        answer = ask(held, 2, find="rows", batchSize=10, readConcern={"level": "linearizable"})
+        number = answer["cursor"]["id"]
+        assert ask(held, 3, getMore=number, collection="rows", batchSize=5)["cursor"]["id"] == number
+        rough.fault("crash", member="primary")
+        assert ask(held, 4, getMore=number, collection="rows")["code"] == 43
+        assert ask(held, 5, getMore=number, collection="rows")["code"] == 43
+
+
+def test_ten_thousand_connections_opened_and_left(rough):
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(hard, max(soft, 24_000)), hard))
+    most = 10_000 if min(hard, 24_000) >= 24_000 else resource.getrlimit(resource.RLIMIT_NOFILE)[0] // 3
+    rough.driver("one")
+    with connect(rough) as first:
+        held = [connect(rough) for _ in range(most)]
+        assert ask(held[-1], ping=1)["ok"] == 1
+        for each in held:
+            each.close()
+        assert insert(first, "after")["ok"] == 1
+
+
+def test_the_driver_ends_in_order_with_what_it_owes(rough):
+    rough.driver("one")
+    rough.fault("slow", factor=60)
+    with connect(rough) as held:
+        held.sendall(command(1, insert="log", documents=[{"_id": 1}], comment={"rid": "owed"}))
+        wait_for(lambda: sum(m["connections"] for m in rough.members()) > 0, "the write was never sent on")
+        rough.drivers["one"].process.terminate()
+        assert receive(held)["ok"] == 1
+        assert rough.drivers["one"].process.wait(timeout=WITHIN) == 0
