--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import json
 import os
 import signal
@@ -70,6 +71,10 @@
         raise click.ClickException(f"cannot listen on {error.interface}:{error.port}") from None
     except OSError as error:
         raise click.ClickException(f"cannot listen: {error.strerror}") from None
+    # What is here now stays: the collector need not look through it for each few hundred requests.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
     _run(reactor, driver.stop)
 
 
--- a/sedgepitch/core/clock.py
+++ b/sedgepitch/core/clock.py
@@ -1,4 +1,4 @@
-"""The daemon's clock: monotonic seconds, and the reactor's timers."""
+"""The daemon's clock: monotonic seconds, timers, and what is done once this turn's input has been read."""
 
 from __future__ import annotations
 
@@ -8,15 +8,29 @@
 
 
 class ReactorClock:
-    """Monotonic time beside a reactor's timers (a reactor's own seconds are wall time)."""
+    """Monotonic time beside a reactor's timers (a reactor's own seconds are wall time).
+
+    On an asyncio loop its own timers are used: a reactor's delayed calls are kept in a heap of their own and
+    armed anew for each change, which costs more than the module's decision where events come one by one.
+    """
 
     def __init__(self, reactor: Any) -> None:
         self.reactor = reactor
+        self.loop = getattr(reactor, "_asyncioEventloop", None)
         self.now = time.monotonic
 
     def call_later(self, delay: float, call: Callable[..., object], *args: object) -> Any:
-        """Call after that many seconds."""
-        return self.reactor.callLater(max(0.0, delay), call, *args)
+        """Call after that many seconds; what is returned can be cancelled, also when it is past."""
+        if self.loop is not None:
+            return self.loop.call_later(max(0.0, delay), call, *args)
+        return _Delayed(self.reactor.callLater(max(0.0, delay), call, *args))
+
+    def soon(self, call: Callable[..., object], *args: object) -> None:
+        """Call once all that is readable in this turn has been read."""
+        if self.loop is not None:
+            self.loop.call_soon(call, *args)
+        else:
+            self.reactor.callLater(0.0, call, *args)
 
 
 class FakeClock:
@@ -31,4 +45,22 @@
 
     def call_later(self, delay: float, call: Callable[..., object], *args: object) -> Any:
         """Call after that much fake time."""
-        return self.clock.callLater(max(0.0, delay), call, *args)
+        return _Delayed(self.clock.callLater(max(0.0, delay), call, *args))
+
+    def soon(self, call: Callable[..., object], *args: object) -> None:
+        """Call in the next turn."""
+        self.clock.callLater(0.0, call, *args)
+
+
+class _Delayed:
+    """A reactor's delayed call that may be cancelled whenever, as a loop's may."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Any) -> None:
+        self.call = call
+
+    def cancel(self) -> None:
+        """Cancel it if it is still to come."""
+        if self.call.active():
+            self.call.cancel()
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -51,7 +51,7 @@
             api.Probe: self._probe,
             api.CloseIdle: lambda a: self.members.close_idle(a.member),
             api.Subscribe: lambda a: self.watch() if self.watch else self.feed(api.ListFailed()),
-            api.SetTimer: lambda a: self.clock.call_later(a.after, self.feed, api.Timer(a.nonce)),
+            api.SetTimer: lambda a: self.clock.call_later(a.after, self._timer_due, api.Timer(a.nonce)),
             api.Log: lambda a: self.log(a.text) if self.log else None,
         }
 
@@ -115,7 +115,11 @@
         self.events.append(event)
         if not self.flush_due:
             self.flush_due = True
-            self.clock.call_later(0.0, self._flush)
+            self.clock.soon(self._flush)
+
+    def _timer_due(self, event: api.Timer) -> None:
+        """Let the sockets be read once more before the timer counts, whatever order the loop keeps."""
+        self.clock.soon(self.feed, event)
 
     def list_changed(self, event: api.Members) -> None:
         """Take the member list. What is told draining or gone binds from this moment."""
--- a/sedgepitch/core/pool.py
+++ b/sedgepitch/core/pool.py
@@ -190,7 +190,7 @@
             self._hand(opening, exchange)
         elif len(self.lanes) >= self.limits.most or self.closed:
             end = AttemptEnd(Result.CONNECT_FAILED, why="all connections to the member are in use")
-            self.clock.call_later(0.0, exchange.end, end)
+            self.clock.soon(exchange.end, end)
         else:
             lane = _Lane(self)
             self.lanes.add(lane)
--- a/sedgepitch/core/types.py
+++ b/sedgepitch/core/types.py
@@ -18,7 +18,7 @@
     FAILED = "failed"
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)  # made for each request: frozen ones cost twice as much
 class Command:
     """A client's request as the engine sees it; `payload` is the front's own, for members."""
 
@@ -30,7 +30,7 @@
     session_age: float = 0.0
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)  # made for each request: frozen ones cost twice as much
 class AttemptEnd:
     """How one attempt at a member ended; `reply` is the front's own, `why` a few words for the operator."""
 
@@ -42,7 +42,7 @@
     why: str = ""
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True, eq=False)  # made for each request: frozen ones cost twice as much
 class Answer:
     """The one final answer of a request."""
 
@@ -88,3 +88,6 @@
 
     def call_later(self, delay: float, call: Callable[..., object], *args: object) -> Any:
         """Call after that many seconds; what is returned can be cancelled."""
+
+    def soon(self, call: Callable[..., object], *args: object) -> None:
+        """Call once all that is readable in this turn has been read."""
--- a/sedgepitch/fronts/mongo/bsonwalk.py
+++ b/sedgepitch/fronts/mongo/bsonwalk.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import struct
-from collections.abc import Iterator
 from typing import NamedTuple
 
 INT32, INT64, DOCUMENT, ARRAY, TIMESTAMP, STRING, BOOL, DOUBLE = (
@@ -56,7 +55,11 @@
     if kind in (DOCUMENT, ARRAY):
         return document_end(buf, at)
     if kind == 0x0B:  # a regular expression: two cstrings
-        return buf.index(b"\0", buf.index(b"\0", at, stop) + 1, stop) + 1
+        first = buf.find(b"\0", at, stop)
+        second = buf.find(b"\0", first + 1, stop) if first >= 0 else -1
+        if second < 0:
+            raise BadDocument(f"value at byte {at} is not ended")
+        return second + 1
     if at + 4 > stop:
         raise BadDocument(f"value at byte {at} is cut off")
     length = _INT.unpack_from(buf, at)[0]
@@ -73,30 +76,29 @@
     raise BadDocument(f"value at byte {at} has the unknown type {kind:#x}")
 
 
-def elements(buf: bytes, offset: int = 0) -> Iterator[Element]:
-    """Yield the elements of the document at offset; raises BadDocument where it is broken."""
+def elements(buf: bytes, offset: int = 0) -> list[Element]:
+    """Return the elements of the document at offset; raises BadDocument where it is broken."""
     stop, at = document_end(buf, offset) - 1, offset + 4
+    out: list[Element] = []
+    new, find_end, fixed = tuple.__new__, buf.find, _FIXED
     while at < stop:
         kind = buf[at]
-        try:
-            name_end = buf.index(b"\0", at + 1, stop)
-            end = _value_end(buf, kind, name_end + 1, stop)
-        except BadDocument:
-            raise
-        except ValueError:
-            raise BadDocument(f"element at byte {at} is not ended") from None
+        name_end = find_end(b"\0", at + 1, stop)
+        if name_end < 0:
+            raise BadDocument(f"element at byte {at} is not ended")
+        size = fixed.get(kind)
+        start = name_end + 1
+        end = start + size if size is not None else _value_end(buf, kind, start, stop)
         if end > stop:
             raise BadDocument(f"element at byte {at} runs past its document")
-        yield Element(kind, buf[at + 1 : name_end], name_end + 1, end)
+        out.append(new(Element, (kind, buf[at + 1 : name_end], start, end)))
         at = end
+    return out
 
 
 def find(buf: bytes, name: bytes, offset: int = 0) -> Element | None:
     """Return the first element of that name in the document at offset, or None."""
-    for element in elements(buf, offset):
-        if element.name == name:
-            return element
-    return None
+    return next((element for element in elements(buf, offset) if element.name == name), None)
 
 
 def number(buf: bytes, element: Element | None) -> float | None:
--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -7,7 +7,6 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
@@ -28,7 +27,7 @@
 from sedgepitch.fronts.mongo.codec import Message, WireError
 from sedgepitch.fronts.mongo.commands import BadCommand, Kind, Request, read
 from sedgepitch.fronts.mongo.framing import FrameReceiver
-from sedgepitch.fronts.mongo.member import MongoMembers, Plain
+from sedgepitch.fronts.mongo.member import MemberReply, MongoMembers, Plain
 
 READ_AHEAD = 256 * 1024  # bytes that a client may send ahead before its socket is left unread
 WIRE_VERSIONS = (0, 21)
@@ -117,6 +116,7 @@
         self.context, self.number = context, number
         self.most_bytes = context.most_frame
         self.account: Account | None = None
+        self.replies = 0
         self.waiting: Any = None  # the timer of an awaited hello
         self.busy = self.clogged = self.reading_stopped = False
         self.app_name = ""
@@ -246,9 +246,9 @@
 
     def _pass_on(self, request: Request, answer: Answer) -> None:
         """Send a member's reply on; a cursor that it opens gets an id of ours."""
-        reply: Message = answer.reply
-        cursor = bsonwalk.find(reply.body, b"cursor")
-        if cursor is None or cursor.kind != bsonwalk.DOCUMENT or answer.member is None:
+        reply: MemberReply = answer.reply
+        cursor = reply.cursor
+        if cursor is None or answer.member is None:
             self._reply(request.message, reply.body)
             return
         identity = bsonwalk.find(reply.body, b"id", cursor.start)
@@ -291,7 +291,7 @@
                 self._reply(request.message, errors.cursor_not_found(number))
                 return
             body = answer.reply.body
-            found = bsonwalk.find(body, b"cursor")
+            found = answer.reply.cursor
             identity = None if found is None else bsonwalk.find(body, b"id", found.start)
             if identity is not None and identity.kind == bsonwalk.INT64:
                 if bsonwalk.number(body, identity):
@@ -362,7 +362,8 @@
     def _reply(self, message: Message, body: bytes) -> None:
         """Send the reply, unless none is wanted, and go on."""
         if self.transport is not None and not message.more_to_come:
-            number = int.from_bytes(os.urandom(3), "little")
+            self.replies = self.replies % 0x7FFFFFFF + 1
+            number = self.replies
             if message.legacy:
                 frame = codec.build_reply(body, number, message.request_id)
             else:
@@ -371,9 +372,12 @@
                 frame = codec.compress(frame, message.compressor)
             self.transport.write(frame)
         self.busy = False
-        # The next command is taken by a later turn where this one was answered within its own: a client that
-        # sends thousands ahead must not keep the others waiting, nor nest.
-        self.context.clock.call_later(0.0, self.advance)
+        if self._held or self.clogged:
+            # What was sent ahead is taken by a later turn, one command each: a client that sends thousands
+            # must not keep the others waiting, nor nest.
+            self.context.clock.soon(self.advance)
+        else:
+            self.paused = False
 
 
 def close_at_members(context: Context, ended: list[Cursor]) -> None:
--- a/sedgepitch/fronts/mongo/codec.py
+++ b/sedgepitch/fronts/mongo/codec.py
@@ -39,19 +39,25 @@
     documents: bytes  # one after another
 
 
-@dataclass(slots=True, frozen=True)
+@dataclass(slots=True)
 class Message:
-    """An OP_MSG, or an OP_QUERY turned into its like; `raw` are all sections as they came."""
+    """An OP_MSG, or an OP_QUERY turned into its like."""
 
     request_id: int
     response_to: int
     flags: int
     body: bytes
     sections: tuple[Section, ...] = ()
-    raw: bytes = b""
+    frame: bytes = b""  # as it came, uncompressed
+    end: int = 0  # where its sections end
     legacy: bool = False  # came as OP_QUERY, so it is answered with OP_REPLY
     compressor: int = 0  # the reply may be compressed with the same
 
+    @property
+    def raw(self) -> bytes:
+        """All sections as they came."""
+        return self.frame[20 : self.end]
+
     @property
     def more_to_come(self) -> bool:
         """Whether the sender wants no reply to this message."""
@@ -178,7 +184,7 @@
         at = stop
     if body is None:
         raise WireError("OP_MSG: there is no body")
-    return Message(request_id, response_to, flags, body, tuple(sections), frame[20:end], False, compressor)
+    return Message(request_id, response_to, flags, body, tuple(sections), frame, end, False, compressor)
 
 
 def _parse_query(frame: bytes, request_id: int, response_to: int) -> Message:
@@ -187,7 +193,7 @@
         raise WireError("OP_QUERY: only the first hello may come this way")
     at = name_end + 9
     body = frame[at : document_end(frame, at)]
-    return Message(request_id, response_to, 0, body, (), b"", True)
+    return Message(request_id, response_to, 0, body, legacy=True)
 
 
 def build(body: bytes, request_id: int, response_to: int, flags: int = 0) -> bytes:
--- a/sedgepitch/fronts/mongo/commands.py
+++ b/sedgepitch/fronts/mongo/commands.py
@@ -104,7 +104,7 @@
 
     def next_batch(self, member_id: int) -> bytes:
         """Return a getMore's sections with the member's own cursor id."""
-        first = next(bsonwalk.elements(self.message.body))
+        first = bsonwalk.elements(self.message.body)[0]
         body = bsonwalk.replace_int64(self.message.body, first, member_id)
         return b"\0" + body + _others(self.message)
 
--- a/sedgepitch/fronts/mongo/member.py
+++ b/sedgepitch/fronts/mongo/member.py
@@ -82,6 +82,14 @@
 
 
 @dataclass(slots=True, frozen=True)
+class MemberReply:
+    """A reply as the client's side needs it: the body, and where it tells of a cursor."""
+
+    body: bytes
+    cursor: bsonwalk.Element | None
+
+
+@dataclass(slots=True)
 class ReplyFacts:
     """What a reply says at its top level."""
 
@@ -89,12 +97,13 @@
     code: int
     labels: bytes
     stamp: Stamp | None
+    cursor: bsonwalk.Element | None
 
 
 def read_reply(message: Message) -> ReplyFacts:
     """Walk a reply's top level; raises BadDocument."""
     body = message.body
-    good, code, labels, stamp = False, 0, b"", None
+    good, code, labels, stamp, cursor = False, 0, b"", None, None
     for element in bsonwalk.elements(body):
         if element.name == b"ok":
             good = bsonwalk.number(body, element) == 1
@@ -104,7 +113,9 @@
             labels = body[element.start : element.end]
         elif element.name == b"operationTime":
             stamp = bsonwalk.timestamp(body, element)
-    return ReplyFacts(good, code, labels, stamp)
+        elif element.name == b"cursor" and element.kind == bsonwalk.DOCUMENT:
+            cursor = element
+    return ReplyFacts(good, code, labels, stamp, cursor)
 
 
 class MemberConnection(FrameReceiver):
@@ -380,13 +391,13 @@
             end = self._judge_error(member, positions, facts, message)
             if end is not None:
                 return end
+        reply = MemberReply(message.body, facts.cursor)
         if writes and facts.good:
             sighting = positions.wrote(member, exchange.sent_at, facts.stamp)
-            return AttemptEnd(
-                Result.OK, message, sighting.primary, self.clock.now(), Report(sighting.position, None)
-            )
+            report = Report(sighting.position, None)
+            return AttemptEnd(Result.OK, reply, sighting.primary, self.clock.now(), report)
         sighting = positions.read(member, exchange.sent_at, facts.stamp)
-        return AttemptEnd(Result.OK, message, report=Report(sighting.position, None))
+        return AttemptEnd(Result.OK, reply, report=Report(sighting.position, None))
 
     def _judge_error(
         self, member: int, positions: GroupPositions, facts: ReplyFacts, message: Message
--- a/sedgepitch/observe/metrics.py
+++ b/sedgepitch/observe/metrics.py
@@ -34,6 +34,8 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
+        self._children: dict[tuple[str, str], tuple[Counter, Histogram]] = {}
+        self._members: dict[int, Counter] = {}
         self.answers = Counter(
             "sedgepitch_answers", "Final answers.", ("class_name", "verdict"), registry=self.registry
         )
@@ -54,9 +56,16 @@
         self.registry.register(_Gauges(engine))
 
     def answered(self, account: Account, answer: Answer, elapsed: float) -> None:
-        """Count one final answer."""
+        """Count one final answer; labelled children are kept, since finding them costs most."""
         name = account.command.class_name or "cursor"
-        self.answers.labels(name, answer.verdict.value).inc()
-        self.seconds.labels(name).observe(elapsed)
+        key = (name, answer.verdict.value)
+        children = self._children.get(key)
+        if children is None:
+            children = self._children[key] = (self.answers.labels(*key), self.seconds.labels(name))
+        children[0].inc()
+        children[1].observe(elapsed)
         for member in account.members:
-            self.attempts.labels(str(member)).inc()
+            counter = self._members.get(member)
+            if counter is None:
+                counter = self._members[member] = self.attempts.labels(str(member))
+            counter.inc()
--- a/tests/front.py
+++ b/tests/front.py
@@ -18,8 +18,9 @@
 from sedgepitch.core.types import AttemptEnd
 from sedgepitch.decide.cursors import CursorTable
 from sedgepitch.decide.positions import GroupPositions
-from sedgepitch.fronts.mongo import codec
+from sedgepitch.fronts.mongo import bsonwalk, codec
 from sedgepitch.fronts.mongo.client import ClientConnection, Context
+from sedgepitch.fronts.mongo.member import MemberReply
 from sedgepitch.policy import Router
 
 EXAMPLE = files("sedgepitch.config").joinpath("example.yaml").read_text()
@@ -40,8 +41,8 @@
     def answer(self, reply: dict | None = None, **fields) -> None:
         """Let the member answer."""
         body = bson.encode({"ok": 1.0, **(reply or {})})
-        message = codec.Message(1, 1, 0, body)
-        self.on_end(AttemptEnd(fields.pop("result", api.Result.OK), message, **fields))
+        reply = MemberReply(body, bsonwalk.find(body, b"cursor"))
+        self.on_end(AttemptEnd(fields.pop("result", api.Result.OK), reply, **fields))
 
 
 @dataclass
