--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -193,6 +193,7 @@
             self.log.info(
                 answer.verdict.value,
                 request=account.id,
+                connection=account.command.connection,
                 class_name=account.command.class_name,
                 group=account.command.group,
                 attempts=account.members,
--- a/sedgepitch/core/types.py
+++ b/sedgepitch/core/types.py
@@ -28,6 +28,7 @@
     payload: Any
     session: str = ""
     session_age: float = 0.0
+    connection: int = 0  # the client connection it came on, for the log
 
 
 @dataclass(slots=True, eq=False)  # made for each request: frozen ones cost twice as much
--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -217,7 +217,13 @@
             age = max(1e-6, now - context.members.positions[group].session_need(request.after, now))
         placement = context.classifier.place(cls, request.facts, time_left, age)
         command = Command(
-            placement.class_name, group, time_left, request, request.session, placement.session_age
+            placement.class_name,
+            group,
+            time_left,
+            request,
+            request.session,
+            placement.session_age,
+            self.number,
         )
         self._await(request, context.engine.submit(command, self._answered(request)))
 
@@ -280,7 +286,7 @@
         time_left = self._time_left(request, context.classifier.most_deadline)
         group = context.members.links[cursor.member].group
         payload = Plain(request.next_batch(cursor.member_id))
-        command = Command("", group, time_left, payload, request.session)
+        command = Command("", group, time_left, payload, request.session, connection=self.number)
 
         def answered(answer: Answer) -> None:
             self.account = None
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -45,6 +45,37 @@
     assert replies(other_transport)[0][1]["ok"] == 1.0
 
 
+def test_an_awaited_hello_waits_its_time_and_ends_with_its_client():
+    front = Front()
+    connection, transport = front.client()
+    connection.dataReceived(command(1, hello=1))
+    front.turn()
+    known = replies(transport)[0][1]
+    assert known["msg"] == "isdbgrid"
+    awaited = command(2, hello=1, topologyVersion=known["topologyVersion"], maxAwaitTimeMS=10_000)
+    connection.dataReceived(awaited)
+    front.turn(9.9)
+    assert len(replies(transport)) == 1
+    front.turn(0.2)
+    assert len(replies(transport)) == 2
+    connection.dataReceived(awaited)
+    front.turn()
+    connection.connectionLost()
+    front.turn(20.0)
+    assert len(replies(transport)) == 2
+
+
+def test_the_first_hello_may_come_as_op_query_and_nothing_else():
+    front = Front()
+    connection, transport = front.client()
+    body = b"\0\0\0\0admin.$cmd\0" + struct.pack("<ii", 0, -1) + bson.encode({"isMaster": 1})
+    connection.dataReceived(codec.HEADER.pack(16 + len(body), 3, 0, codec.OP_QUERY) + body)
+    front.turn()
+    data = transport.value()
+    assert codec.HEADER.unpack_from(data)[2:] == (3, codec.OP_REPLY)
+    assert bson.decode(data[36:])["msg"] == "isdbgrid"
+
+
 def test_checksum_is_verified_and_made():
     front = Front()
     connection, transport = front.client()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -4,18 +4,23 @@
 
 import itertools
 import json
+import os
 import resource
+import signal
 import socket
 import struct
 import time
+import urllib.request
 from pathlib import Path
 
 import bson
 import pymongo
 import pytest
+import yaml
 from pymongo.errors import PyMongoError
 
 from sedgepitch.fronts.mongo import codec
+from sedgepitch.load.processes import Process
 from tests.front import command
 
 WITHIN = 30.0  # s; generous, no test waits for it unless something is broken
@@ -224,3 +229,42 @@
         rough.drivers["one"].process.terminate()
         assert receive(held)["ok"] == 1
         assert rough.drivers["one"].process.wait(timeout=WITHIN) == 0
+
+
+def test_workers_share_the_port_and_one_that_dies_is_started_again(rough, tmp_path):
+    rough.driver("alone")
+    settings = dict(rough.driver_settings["alone"])
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    settings["listen"] = f"127.0.0.1:{port}"
+    path = tmp_path / "workers.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    workers = Process(["serve", "--config", str(path), "--workers", "2"], tmp_path / "workers.log")
+    try:
+        assert workers.ready()[1] == port
+        workers.ready()
+        children = Path(f"/proc/{workers.process.pid}/task/{workers.process.pid}/children")
+        pids = children.read_text().split()
+        assert len(pids) == 2
+        os.kill(int(pids[0]), signal.SIGKILL)
+        workers.ready()  # the third to say so
+        with socket.create_connection(("127.0.0.1", port), timeout=WITHIN) as held:
+            assert insert(held, "shared")["ok"] == 1
+    finally:
+        assert workers.stop() == 0
+
+
+def test_metrics_tell_what_was_answered(rough):
+    with socket.socket() as free:
+        free.bind(("127.0.0.1", 0))
+        port = free.getsockname()[1]
+    rough.driver_settings.clear()
+    rough.settings["metrics"] = f"127.0.0.1:{port}"
+    rough.driver("measured")
+    with connect(rough) as held:
+        for n in range(1, 4):
+            assert insert(held, f"row {n}", n)["ok"] == 1
+    text = urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=WITHIN).read().decode()
+    assert 'sedgepitch_answers_total{class_name="upload/unsafe",verdict="served"} 3.0' in text
+    assert "sedgepitch_owed 0.0" in text
