Hedged copies, deadlines, false claims, cuts and promotions tested end to end

Change: socket tests for both copies of a hedged read answering, answers about the moment of the deadline, a replica that calls itself primary, a primary cut off from one driver, members that refuse connections, and retryable writes over a promotion. An unused hook is gone.

--- a/sedgepitch/fronts/mongo/member.py
+++ b/sedgepitch/fronts/mongo/member.py
@@ -236,7 +236,6 @@
         self.links: dict[int, _Link] = {}
         self.positions: dict[int, GroupPositions] = {}
         self.hello = hello_command(app_name)
-        self.on_lost: Callable[[int], None] = lambda member: None
 
     # The engine's side
 
@@ -348,11 +347,7 @@
                 self._sighted(member, group, asked, read_hello(message))
                 ready(connection)
 
-            def gone(why: str) -> None:
-                self.on_lost(member)
-                lost(why)
-
-            factory = _Factory(lambda: MemberConnection(self.app_name, greeted, failed, gone), failed)
+            factory = _Factory(lambda: MemberConnection(self.app_name, greeted, failed, lost), failed)
             timeout = max(1.0, self.limits.connect_within)
             connector = self.reactor.connectTCP(*address, factory, timeout=timeout)
             return connector.disconnect
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -268,3 +268,99 @@
     text = urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=WITHIN).read().decode()
     assert 'sedgepitch_answers_total{class_name="upload/unsafe",verdict="served"} 3.0' in text
     assert "sedgepitch_owed 0.0" in text
+
+
+def test_both_copies_of_a_hedged_read_answer_and_the_client_hears_one(rough):
+    rough.driver("one")
+    with connect(rough) as held:
+        assert insert(held, "row")["ok"] == 1
+        for n in range(2, 60):  # every replica known and quick
+            ask(held, n, find="log", maxTimeMS=800)
+        for member in range(2, 7):
+            rough.fault("hang", member=member, **{"for": 0.6 if member % 2 else 0.01})
+        for n in range(60, 120):
+            held.sendall(command(n, find="log", comment={"class": "", "rid": f"read {n}"}, maxTimeMS=800))
+            data = held.recv(65536)
+            assert codec.parse(data).response_to == n  # one whole reply, to this request
+        held.settimeout(1.5)
+        with pytest.raises(TimeoutError):
+            held.recv(1)
+    reads = [r["rid"] for r in records(rough, "read") if r["rid"]]
+    assert len(reads) > len(set(reads)), "no read was copied"
+
+
+def test_answers_about_the_moment_of_the_deadline_are_given_once(rough):
+    rough.driver("one")
+    rough.fault("slow", member="primary", factor=20)  # some 10 to 20 ms a write
+    with connect(rough) as held:
+        verdicts = set()
+        for n in range(1, 120):
+            held.sendall(command(n, insert="log", documents=[{"_id": n}], maxTimeMS=20 + n % 20))
+            data = held.recv(65536)
+            message = codec.parse(data)
+            assert message.response_to == n
+            verdicts.add(bson.decode(message.body)["ok"])
+        assert verdicts == {0.0, 1.0}
+        held.settimeout(0.5)
+        with pytest.raises(TimeoutError):
+            held.recv(1)
+
+
+def test_a_replica_that_calls_itself_primary_gets_no_write_and_proves_nobody_fresh(rough):
+    rough.driver("one")
+    with connect(rough) as held:
+        assert insert(held, "first")["ok"] == 1
+        rough.fault("claim", member=3)
+        for n in range(2, 60):
+            answer = insert(held, f"row {n}", n)
+            assert answer["ok"] == 1 or "NoWritesPerformed" in answer["errorLabels"]
+            seen = ask(held, n, find="log", readConcern={"level": "linearizable"}, limit=500, batchSize=500)
+            if answer["ok"] == 1 and seen["ok"] == 1:
+                assert {"_id": f"row {n}"} in seen["cursor"]["firstBatch"]
+    commits = records(rough, "commit")
+    assert {r["m"] for r in commits} == {1}
+    assert len(commits) > 30
+
+
+def test_a_member_cut_off_from_one_driver_still_serves_the_other(rough):
+    rough.driver("near")
+    rough.driver("far")
+    with connect(rough, "near") as near, connect(rough, "far") as far:
+        assert insert(near, "a")["ok"] == 1
+        assert insert(far, "b", 1)["ok"] == 1
+        rough.fault("cut", member="primary", driver="far")
+        answer = insert(far, "c", 2, maxTimeMS=400)
+        assert answer["ok"] == 0 and "errorLabels" not in answer
+        assert insert(near, "d", 2)["ok"] == 1
+        wait_for(lambda: ask(far, 3, find="log", comment="history-read")["ok"] == 1, "no replica served")
+    assert [r["rid"] for r in records(rough, "commit")] == ["a", "b", "d"]
+
+
+def test_a_member_that_refuses_connections_is_left_alone(rough):
+    rough.driver("one")
+    for member in (2, 3, 4):
+        rough.fault("refuse", member=member)
+    with connect(rough) as held:
+        served = sum(ask(held, n, find="log", comment="history-read")["ok"] for n in range(1, 60))
+        assert served > 40
+
+
+def test_retryable_writes_over_a_promotion_take_effect_once(rough):
+    host, port = rough.driver("one")
+    with pymongo.MongoClient(host, port) as client:
+        rows, done = client.sky.counted, []
+        for n in range(60):
+            if n == 20:
+                rough.fault("promote")
+            try:
+                rows.insert_one({"_id": n, "comment": "x"})
+                done.append(n)
+            except PyMongoError as error:
+                assert error.has_error_label("NoWritesPerformed") or error.code in (50, 11000)
+        with client.start_session() as session:
+            rows.update_one({"_id": 0}, {"$set": {"last": 1}}, session=session)
+            found = {row["_id"] for row in rows.find({}, session=session, comment="own-read")}
+        assert set(done) <= found
+        assert len(done) > 40
+    keys = [tuple(r["key"]) for r in records(rough, "commit") if r["key"]]
+    assert len(keys) == len(set(keys))
