A door before the module: fair shares by tenant, bounded memory, promised come-back times

Need: a noisy client must not starve the others, and what waits must not be walked by the module on every answer.

Change: `decide/door.py` admits, holds or turns away before the module sees a request. It sets no limit beside the module's: it bounds how many that it let in may still wait inside, by group and side, and the rest waits in start-time fair order between tenants (by cost and weight), worth first within one, fair between its clients. Refused come-back times are reservations in a calendar of measured room; retries stay within a share by tenant. Weights are reloaded by SIGHUP, `sedgepitch door` shows tenants, queues and promises.

--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import os
 import random
 import socket
@@ -10,6 +11,7 @@
 from typing import Any
 
 import structlog
+from twisted.web.resource import Resource
 
 from sedgepitch import interface as api
 from sedgepitch.config.models import Settings
@@ -19,6 +21,7 @@
 from sedgepitch.core.pool import PoolLimits
 from sedgepitch.core.types import Answer, Verdict
 from sedgepitch.decide.cursors import CursorTable
+from sedgepitch.decide.door import Door
 from sedgepitch.fleet.control import Addresses, ControlList
 from sedgepitch.fronts.mongo.client import ClientFactory, Context, close_at_members
 from sedgepitch.fronts.mongo.commands import Request
@@ -45,6 +48,22 @@
     return find
 
 
+class _DoorResource(Resource):
+    """What `sedgepitch door` shows, as JSON."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, driver: Driver) -> None:
+        super().__init__()
+        self.driver = driver
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Answer."""
+        door = self.driver.engine.door
+        state = {} if door is None else door.state(self.driver.clock.now())
+        return json.dumps({"driver": self.driver.settings.driver.name, **state}).encode()
+
+
 class Driver:
     """One driver on a reactor. `start` opens the listener, `stop` ends in order and calls back when done."""
 
@@ -80,6 +99,7 @@
             self.members,
             self.clock,
             most_in_flight=limits.in_flight,
+            door=Door(settings.door.build(), seed, self.clock.now()) if settings.door else None,
             watch=self.list.watch if self.list else None,
             log=lambda text: self.log.info("module", text=text),
             observe=self._answered,
@@ -96,6 +116,8 @@
             drain_grace=settings.rules.drain_grace,
             shard_field=tuple(p.encode() for p in settings.shard_field.split(".") if p),
             most_frame=limits.frame,
+            tenant_of=tuple(settings.door.tenant) if settings.door else (),
+            client_of=tuple(settings.door.client) if settings.door else (),
             most_connections=limits.connections,
             log=self._note,
             counted=lambda kind: self.metrics.input_errors.labels(kind).inc(),
@@ -130,11 +152,11 @@
         address = opened.getHost()
         if self.settings.metrics is not None:
             from prometheus_client.twisted import MetricsResource
-            from twisted.web.resource import Resource
             from twisted.web.server import Site
 
             root: Any = Resource()
             root.putChild(b"metrics", MetricsResource(self.metrics.registry))
+            root.putChild(b"door", _DoorResource(self))
             host, port = self.settings.metrics
             self.ports.append(self.reactor.listenTCP(port, Site(root), interface=host))
         self.clock.call_later(SWEEP, self._sweep)
@@ -170,6 +192,12 @@
 
         look()
 
+    def reload(self, settings: Settings) -> None:
+        """Take what may change while running: the door's settings. What waits there is not lost."""
+        if self.engine.door is not None and settings.door is not None:
+            self.engine.door.reload(settings.door.build())
+            self.log.info("reloaded", weights=settings.door.weights)
+
     def _listed(self, listings: tuple[api.Listing, ...], complete: bool, addresses: Addresses) -> None:
         self.members.addresses.update(addresses)
         known = tuple(x for x in listings if x.member in self.members.addresses)
--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import urllib.request
 from importlib.resources import files
 from pathlib import Path
 from types import FrameType
@@ -75,6 +76,14 @@
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)
+
+    def reload(number: int, frame: FrameType | None) -> None:
+        try:
+            reactor.callFromThread(driver.reload, load(path))
+        except SettingsError as error:
+            click.echo(f"not reloaded: {error}", err=True)
+
+    signal.signal(signal.SIGHUP, reload)
     _run(reactor, driver.stop)
 
 
@@ -198,6 +207,36 @@
     sys.exit(1 if any(rule["broken"] for rule in result["rules"]) else 0)
 
 
+@main.command()
+@CONFIG
+def door(path: str) -> None:
+    """Show the door of a running driver: tenants, shares, what waits, promises."""
+    settings = _load(path)
+    if settings.metrics is None:
+        raise click.ClickException(f"{path}: the door is shown at the address 'metrics', which is not set")
+    host, port = settings.metrics
+    try:
+        with urllib.request.urlopen(f"http://{host}:{port}/door", timeout=5.0) as answer:
+            state = json.load(answer)
+    except (OSError, ValueError):
+        raise click.ClickException(f"no driver answers at {host}:{port}") from None
+    if "rooms" not in state:
+        raise click.ClickException(f"the driver {state['driver']} has no door")
+    click.echo(f"{state['driver']}: {state['held']} held")
+    for room in state["rooms"]:
+        side = "primary only" if room["primary_only"] else "any member"
+        click.echo(
+            f"  group {room['group']}, {side}: {room['inside']} inside, {room['waiting_inside']} waiting there"
+            f" (allowance {room['allowance']}), {room['held']} held of {room['tenants_held']} tenants"
+        )
+        click.echo(
+            f"    {room['promises']} promises, {room['promises_ended']} ended early;"
+            f" serves {room['served_per_s']} s of members' time a second"
+        )
+    for row in state["largest_tenants"]:
+        click.echo(f"  {row['used_s']:>10.3f} s  {row['tenant'] or '(no name)'}")
+
+
 @main.group()
 def config() -> None:
     """Look at settings."""
--- a/sedgepitch/config/models.py
+++ b/sedgepitch/config/models.py
@@ -9,6 +9,7 @@
 from sedgepitch import interface as api
 from sedgepitch.config.units import Address, Bytes, Seconds
 from sedgepitch.decide.classify import Classifier, Rule, variants
+from sedgepitch.decide.door import DoorSettings
 
 
 class Model(BaseModel):
@@ -135,6 +136,33 @@
     stop_within: Seconds = 5.0
 
 
+class DoorModel(Model):
+    """The door: shares by tenant, and what waits before the module. Absent: all goes straight in."""
+
+    tenant: list[Literal["app_name", "address", "session", "database", "comment"]] = ["app_name", "address"]
+    client: list[Literal["app_name", "address", "session", "connection"]] = ["session", "connection"]
+    weights: dict[str, float] = {}
+    default_weight: float = Field(1.0, gt=0)
+    most_held: int = Field(2000, ge=1)
+    most_waiting_inside: int = Field(16, ge=2)
+    hold_share: float = Field(0.4, gt=0, lt=1)
+    most_debts: int = Field(4096, ge=16)
+    most_promises: int = Field(10_000, ge=1)
+    horizon: Seconds = 5.0
+    retry_share: float = Field(0.2, ge=0)
+
+    @model_validator(mode="after")
+    def _weights_above_nothing(self) -> DoorModel:
+        for name, weight in self.weights.items():
+            if weight <= 0:
+                raise ValueError(f"weights: '{name}' must be above 0")
+        return self
+
+    def build(self) -> DoorSettings:
+        """Return what the door is told."""
+        return DoorSettings(**{name: getattr(self, name) for name in DoorSettings.__dataclass_fields__})
+
+
 class LogModel(Model):
     """The log."""
 
@@ -198,6 +226,7 @@
     rules: RulesModel = RulesModel()
     module: ModuleModel = ModuleModel()
     limits: LimitsModel = LimitsModel()
+    door: DoorModel | None = None
     standins: StandinsModel | None = None
 
     @model_validator(mode="after")
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -14,9 +14,11 @@
 from sedgepitch import interface as api
 from sedgepitch.core.ledger import Account, Ledger
 from sedgepitch.core.types import Answer, Answered, AttemptEnd, Clock, Command, Ended, Members, Verdict
-from sedgepitch.interface import Result
+from sedgepitch.decide.door import Admit, Arrival, Decision, Door
+from sedgepitch.interface import Freshness, Result
 from sedgepitch.policy import Router
 
+DOOR_TICK = 0.01  # s between looks at what is held
 OVERDUE = 0.02  # s past its time after which an answer that no decision brought is given here
 
 
@@ -30,12 +32,15 @@
         clock: Clock,
         *,
         most_in_flight: int = 10_000,
+        door: Door | None = None,
         watch: Callable[[], None] | None = None,
         log: Callable[[str], None] | None = None,
         observe: Callable[[Account, Answer, float], None] | None = None,
     ) -> None:
         self.router, self.members, self.clock = router, members, clock
         self.most_in_flight = most_in_flight
+        self.door, self.door_ticking = door, False
+        self.classes = {c.name: c for c in router.settings.classes}
         self.watch, self.log, self.observe = watch, log, observe
         self.ledger = Ledger()
         self.events: list[api.Event] = []
@@ -60,19 +65,57 @@
     def submit(self, command: Command, answered: Answered) -> Account:
         """Take a request; `answered` is called exactly once, unless the client leaves first."""
         account = self._open(command, answered)
-        if account.open:
-            self.feed(
-                api.Arrived(
-                    account.id,
-                    command.class_name,
-                    command.group,
-                    command.time_left,
-                    command.session,
-                    command.session_age,
-                )
-            )
+        if not account.open:
+            return account
+        cls = self.classes.get(command.class_name)
+        if self.door is None or cls is None:
+            self._enter(account)
+            return account
+        account.admitted = False
+        arrival = Arrival(
+            account.id,
+            command.tenant,
+            command.client,
+            command.class_name,
+            cls.worth,
+            command.time_left,
+            command.group,
+            cls.freshness in (Freshness.WRITE, Freshness.FRESH),
+            command.mark,
+        )
+        self._decided(self.door.arrive(arrival, self.clock.now()))
+        if not self.door_ticking:
+            self.door_ticking = True
+            self.clock.call_later(DOOR_TICK, self._door_tick)
         return account
 
+    def _enter(self, account: Account) -> None:
+        """Let the module see a request, with what is left of its time and the present age of its session."""
+        command = account.command
+        passed = self.clock.now() - account.opened
+        age = command.session_age + passed if command.session_age > 0 else 0.0
+        left = command.time_left - passed
+        self.feed(api.Arrived(account.id, command.class_name, command.group, left, command.session, age))
+
+    def _decided(self, decisions: list[Decision]) -> None:
+        for decision in decisions:
+            account = self.ledger.accounts.get(decision.id)
+            if account is None or not account.open:
+                continue
+            if isinstance(decision, Admit):
+                account.admitted = True
+                self._enter(account)
+            else:
+                why = f"at the door: {decision.why}"
+                self._settle(account, Answer(Verdict.REFUSED, come_back=decision.come_back, why=why))
+
+    def _door_tick(self) -> None:
+        assert self.door is not None
+        self._decided(self.door.tick(self.clock.now()))
+        self.door_ticking = bool(self.door.held)
+        if self.door_ticking:
+            self.clock.call_later(DOOR_TICK, self._door_tick)
+
     def submit_pinned(self, member: int, command: Command, answered: Answered) -> Account:
         """Take a request that only one member can serve, as the next batch of a cursor; it is tried once."""
         account = self._open(command, answered)
@@ -94,7 +137,10 @@
     def gone(self, account: Account) -> None:
         """The client has left: nothing is owed, and the module hears of it at once."""
         if self.ledger.leave(account):
-            self.feed(api.ClientGone(account.id))
+            if account.admitted:
+                self.feed(api.ClientGone(account.id))
+            if self.door is not None:
+                self._decided(self.door.ended(account.id, self.clock.now(), served=True))
 
     def _open(self, command: Command, answered: Answered) -> Account:
         now = self.clock.now()
@@ -165,6 +211,8 @@
             self._finished(account, attempt, action.member, now, AttemptEnd(Result.NOT_SENT))
             return
         account.members.append(action.member)
+        if self.door is not None and not attempt:
+            self._decided(self.door.sent(account.id, now))
 
         def ended(end: AttemptEnd) -> None:
             if attempt in account.out:
@@ -231,8 +279,13 @@
             self._settle(account, Answer(Verdict.FAILED, why=account.last or "no answer yet"))
 
     def _settle(self, account: Account, answer: Answer) -> None:
-        if self.ledger.settle(account, answer) and self.observe:
+        if not self.ledger.settle(account, answer):
+            return
+        if self.observe:
             self.observe(account, answer, self.clock.now() - account.opened)
+        if self.door is not None:
+            served = answer.verdict is Verdict.SERVED
+            self._decided(self.door.ended(account.id, self.clock.now(), served))
 
     def _cancel(self, action: api.Cancel) -> None:
         account = self.ledger.accounts.get(action.request)
--- a/sedgepitch/core/ledger.py
+++ b/sedgepitch/core/ledger.py
@@ -16,6 +16,7 @@
     """One request that is owed an answer, and its attempts under way."""
 
     __slots__ = (
+        "admitted",
         "answered",
         "attempts",
         "command",
@@ -33,6 +34,7 @@
         self.answered: Answered | None = answered
         self.deadline = now + command.time_left
         self.attempts = 0
+        self.admitted = True  # the door has let it in
         self.out: dict[int, tuple[int, float, Exchange]] = {}  # attempt -> member, sent, exchange
         self.members: list[int] = []
         self.last = ""  # how the last attempt ended, for the log
--- a/sedgepitch/core/types.py
+++ b/sedgepitch/core/types.py
@@ -29,6 +29,9 @@
     session: str = ""
     session_age: float = 0.0
     connection: int = 0  # the client connection it came on, for the log
+    tenant: str = ""  # for the door, as are the next two
+    client: str = ""
+    mark: str = ""  # the same for each try of one request, where the protocol shows it
 
 
 @dataclass(slots=True, eq=False)  # made for each request: frozen ones cost twice as much
--- /dev/null
+++ b/sedgepitch/decide/door.py
@@ -0,0 +1,346 @@
+"""May a request come in now, wait, or is it told when to come back: decided before the module sees it.
+
+Which controller governs when. The module's per-member limits, which follow answers, say how many requests
+may be out at members; the door sets no limit of its own beside them. It bounds how many that it let in may
+still *wait* inside, for each group and side: an allowance of a few, which falls when one of them is refused
+in there and grows when they are placed at once. So while members have room the door is open; when they have
+none, what comes waits here, in fair order, and the module's own waiting list, which is walked on every
+answer, stays short. Requests that only a primary may serve have an allowance, a queue and a calendar of
+their own.
+
+A request is held no longer than a share of its time, and is refused at once where it could not be reached
+by then. Refused with a time: see `calendar.py`. Fair order: see `fairqueue.py`. Nothing here grows with the
+number of tenants or clients: what waits, debts, promises and remembered refusals are bounded, usage is a
+sketch.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from sedgepitch.decide.calendar import Calendar
+from sedgepitch.decide.fairqueue import FairQueue, Held
+from sedgepitch.structures.sketch import FadingSketch
+from sedgepitch.structures.wheel import Entry, Wheel
+
+TICK = 0.005  # s; how exactly held requests end
+LEAST_ALLOWANCE = 2.0  # requests that may wait inside, whatever happens
+FALL, GROW = 0.7, 0.1  # the allowance after one was refused inside; and more after one was placed at once
+AT_ONCE = 0.01  # s; placed sooner than this is at once
+LEARN = 0.05  # weight of one answer in a class's usual cost
+SPAN = 0.5  # s over which the served rate is measured
+FIRST_COST = 0.02  # s; a class's cost before any answer
+RETRY_HALF_LIFE = 10.0  # s
+FREE_RETRIES = 5.0  # retries a tenant may make, however little it asks
+WIDTH = 4096  # cells a row of the sketches
+
+
+@dataclass(slots=True, frozen=True)
+class DoorSettings:
+    """What an operator may set; times in seconds."""
+
+    weights: dict[str, float] = field(default_factory=dict)
+    default_weight: float = 1.0
+    most_held: int = 2000
+    most_waiting_inside: int = 16
+    hold_share: float = 0.4  # of a request's time that it may be held
+    most_debts: int = 4096
+    most_promises: int = 10_000
+    horizon: float = 5.0  # how far ahead times are promised
+    retry_share: float = 0.2  # of a tenant's first tries that unannounced retries may add
+
+
+@dataclass(slots=True, frozen=True)
+class Arrival:
+    """A request before the door. `mark` is the same for each try of one request."""
+
+    id: int
+    tenant: str
+    client: str
+    class_name: str
+    worth: float
+    time_left: float
+    group: int
+    primary_only: bool
+    mark: str
+
+
+@dataclass(slots=True, frozen=True)
+class Admit:
+    """Let it in now."""
+
+    id: int
+
+
+@dataclass(slots=True, frozen=True)
+class TurnAway:
+    """Refuse it; come back after that many seconds, 0 where nothing can be promised."""
+
+    id: int
+    come_back: float
+    why: str
+
+
+Decision = Admit | TurnAway
+
+
+@dataclass(slots=True, eq=False)
+class _Ticket:
+    """One request from its arrival to its end."""
+
+    arrival: Arrival
+    held: Held
+    room: _Room
+    came: float
+    until: float
+    entry: Entry[int] | None = None
+    admitted_at: float = -1.0
+    sent_at: float = -1.0
+
+
+class _Room:
+    """One group's primary, or its members at large."""
+
+    def __init__(self, settings: DoorSettings, seed: int, now: float) -> None:
+        self.queue = FairQueue(settings.most_debts)
+        self.calendar = Calendar(settings.most_promises, settings.horizon, seed)
+        self.most = float(settings.most_waiting_inside)
+        self.allowance = self.most
+        self.waiting_inside = 0
+        self.inside = 0
+        self.served = 0.0  # cost since the span began
+        self.span_from = now
+        self.rate = 0.0  # cost served a second, as far as it has been seen
+        self.pressed = False  # something was held in this span
+
+    def measure(self, now: float) -> None:
+        """Once a span: a room that was pressed shows its capacity, another one only that it has as much."""
+        passed = now - self.span_from
+        if passed < SPAN:
+            return
+        seen = self.served / passed
+        if self.pressed:
+            self.rate += 0.5 * (seen - self.rate) if self.rate else seen
+        else:
+            self.rate = max(seen, 0.98 * self.rate)
+        self.served, self.span_from, self.pressed = 0.0, now, bool(self.queue.waiting)
+        self.calendar.measured(self.rate, now)
+
+
+class Door:
+    """All rooms of one driver. Pure: the same settings, seed and calls give the same decisions."""
+
+    def __init__(self, settings: DoorSettings, seed: int, now: float) -> None:
+        self.settings, self.seed = settings, seed
+        self.rooms: dict[tuple[int, bool], _Room] = {}
+        self.tickets: dict[int, _Ticket] = {}
+        self.wheel: Wheel[int] = Wheel(TICK, now)
+        self.costs: dict[str, float] = {}
+        self.held = 0
+        self.refused: OrderedDict[str, None] = OrderedDict()  # marks of requests lately refused
+        self.usage = FadingSketch(WIDTH, 16, 30.0, seed, now)
+        self.first_tries = FadingSketch(WIDTH, 1, RETRY_HALF_LIFE, seed + 1, now)
+        self.retries = FadingSketch(WIDTH, 1, RETRY_HALF_LIFE, seed + 2, now)
+
+    # Events
+
+    def arrive(self, arrival: Arrival, now: float) -> list[Decision]:
+        """Decide about a new request."""
+        room = self._room(arrival, now)
+        room.measure(now)
+        cost = self.costs.get(arrival.class_name, FIRST_COST)
+        weight = self.settings.weights.get(arrival.tenant, self.settings.default_weight)
+        held = Held(arrival.id, arrival.tenant, arrival.client, arrival.worth, cost, weight)
+        until = now + arrival.time_left * self.settings.hold_share
+        ticket = self.tickets[arrival.id] = _Ticket(arrival, held, room, now, until)
+        promised = room.calendar.comes(arrival.mark, now)
+        again = self.refused.pop(arrival.mark, True) is None
+        if not again:
+            self.first_tries.add(arrival.tenant, 1.0, now)
+        elif not promised and self._too_many_retries(arrival.tenant, now):
+            return [self._turn_away(ticket, now, "too many retries")]
+        if promised or (not room.queue.waiting and room.waiting_inside < room.allowance):
+            room.queue.served_at_once(arrival.tenant, cost, weight)
+            return [self._admit(ticket, now)]
+        if self._wait(room, held) > until - now:
+            return [self._turn_away(ticket, now, "its turn would come too late")]
+        out: list[Decision] = []
+        if self.held >= self.settings.most_held:
+            shed = self._shed(room, held)
+            if shed is None:
+                return [self._turn_away(ticket, now, "no room to wait")]
+            out.append(self._turn_away(self.tickets[shed.id], now, "made room for others"))
+        room.queue.push(held)
+        room.pressed = True
+        self.held += 1
+        ticket.entry = self.wheel.put(until, arrival.id)
+        return out
+
+    def sent(self, number: int, now: float) -> list[Decision]:
+        """The module has sent a request to a member for the first time."""
+        ticket = self.tickets.get(number)
+        if ticket is None or ticket.sent_at >= 0 or ticket.admitted_at < 0:
+            return []
+        ticket.sent_at = now
+        room = ticket.room
+        room.waiting_inside -= 1
+        if now - ticket.admitted_at < AT_ONCE:
+            room.allowance = min(room.most, room.allowance + GROW)
+        return self._let_in(room, now)
+
+    def ended(self, number: int, now: float, served: bool) -> list[Decision]:
+        """A request has its final answer, or its client has left."""
+        ticket = self.tickets.pop(number, None)
+        if ticket is None:
+            return []
+        room, arrival, held = ticket.room, ticket.arrival, ticket.held
+        if ticket.admitted_at < 0:
+            if ticket.entry is not None:
+                self.wheel.cancel(ticket.entry)
+                self.held -= 1
+                room.queue.drop(held)
+            return []
+        room.inside -= 1
+        if ticket.sent_at < 0:
+            room.waiting_inside -= 1
+            if not served:  # it waited inside for nothing: fewer may wait there
+                room.allowance = max(LEAST_ALLOWANCE, room.allowance * FALL)
+        else:
+            cost = now - ticket.sent_at
+            room.served += cost
+            room.queue.correct(arrival.tenant, cost - held.cost, held.weight)
+            self.usage.add(arrival.tenant, cost, now)
+            if served:
+                usual = self.costs.get(arrival.class_name, FIRST_COST)
+                self.costs[arrival.class_name] = usual + LEARN * (cost - usual)
+        if not served:
+            self._remember(arrival.mark)
+        room.measure(now)
+        return self._let_in(room, now)
+
+    def tick(self, now: float) -> list[Decision]:
+        """End what has been held for as long as it may be."""
+        out: list[Decision] = []
+        for number in self.wheel.advance(now):
+            ticket = self.tickets[number]
+            ticket.entry = None
+            self.held -= 1
+            ticket.room.queue.drop(ticket.held)
+            out.append(self._turn_away(ticket, now, "held for as long as it may be"))
+        return out
+
+    def reload(self, settings: DoorSettings) -> None:
+        """Take new settings; what waits keeps its place, and new weights count from the next request on."""
+        self.settings = settings
+        for room in self.rooms.values():
+            room.most = float(settings.most_waiting_inside)
+            room.allowance = min(room.allowance, room.most)
+            room.queue.most_debts = settings.most_debts
+            room.calendar.most, room.calendar.horizon = settings.most_promises, settings.horizon
+
+    def state(self, now: float) -> dict[str, object]:
+        """What an operator asks for: the biggest tenants, allowances, queues and promises now."""
+        rooms = [
+            {
+                "group": group,
+                "primary_only": side,
+                "inside": room.inside,
+                "waiting_inside": room.waiting_inside,
+                "allowance": round(room.allowance, 2),
+                "held": room.queue.waiting,
+                "tenants_held": len(room.queue.tenants),
+                "served_per_s": round(room.rate, 4),
+                "promises": len(room.calendar.promises),
+                "promises_ended": room.calendar.ended,
+            }
+            for (group, side), room in sorted(self.rooms.items())
+        ]
+        largest = [{"tenant": name, "used_s": round(used, 3)} for name, used in self.usage.largest(now)]
+        return {"held": self.held, "rooms": rooms, "largest_tenants": largest}
+
+    # Parts of the decisions
+
+    def _room(self, arrival: Arrival, now: float) -> _Room:
+        key = (arrival.group, arrival.primary_only)
+        room = self.rooms.get(key)
+        if room is None:
+            room = self.rooms[key] = _Room(self.settings, self.seed + 7 * len(self.rooms), now)
+        return room
+
+    def _too_many_retries(self, tenant: str, now: float) -> bool:
+        made = self.retries.add(tenant, 1.0, now)
+        return made > FREE_RETRIES + self.settings.retry_share * self.first_tries.estimate(tenant, now)
+
+    def _wait(self, room: _Room, held: Held) -> float:
+        """How long until its turn: what waits before it of its own tenant, at its share of the rate."""
+        if room.rate <= 0.0:
+            return 0.0
+        tenant = room.queue.tenants.get(held.tenant)
+        if tenant is None:
+            return room.queue.debt(held.tenant) / room.rate
+        weights = sum(t.weight for t in room.queue.tenants.values()) if len(room.queue.tenants) < 64 else None
+        if weights is None:  # many tenants wait: by the mean of what they hold
+            weights = held.weight * len(room.queue.tenants)
+        ahead = sum(
+            h.cost
+            for worth, level in tenant.levels.items()
+            if worth >= held.worth
+            for h in level.queues.get(held.client, ())
+            if not h.gone
+        )
+        ahead = max(ahead, tenant.cost * min(1.0, 1.0 / max(1, len(tenant.levels))))
+        return ahead * weights / (held.weight * room.rate)
+
+    def _shed(self, room: _Room, newcomer: Held) -> Held | None:
+        """Someone to put out for a newcomer: of the tenant with the most waiting, if that is not its own."""
+        fullest = room.queue.largest()
+        if fullest is None:
+            return None
+        own = room.queue.tenants.get(newcomer.tenant)
+        own_cost = (own.cost if own else 0.0) + newcomer.cost
+        if fullest.name == newcomer.tenant:
+            least = min(fullest.levels)
+            return room.queue.shed_from(fullest) if least < newcomer.worth else None
+        if fullest.cost / fullest.weight <= own_cost / newcomer.weight:
+            return None
+        return room.queue.shed_from(fullest)
+
+    def _admit(self, ticket: _Ticket, now: float) -> Admit:
+        ticket.admitted_at = now
+        ticket.room.waiting_inside += 1
+        ticket.room.inside += 1
+        return Admit(ticket.arrival.id)
+
+    def _let_in(self, room: _Room, now: float) -> list[Decision]:
+        out: list[Decision] = []
+        while room.waiting_inside < room.allowance:
+            held = room.queue.pop()
+            if held is None:
+                break
+            ticket = self.tickets[held.id]
+            if ticket.entry is not None:
+                self.wheel.cancel(ticket.entry)
+                ticket.entry = None
+            self.held -= 1
+            out.append(self._admit(ticket, now))
+        return out
+
+    def _turn_away(self, ticket: _Ticket, now: float, why: str) -> TurnAway:
+        """Refuse, with a time where one can be promised."""
+        arrival, room = ticket.arrival, ticket.room
+        if ticket.entry is not None:
+            self.wheel.cancel(ticket.entry)
+            ticket.entry = None
+            self.held -= 1
+        self.tickets.pop(arrival.id, None)
+        self._remember(arrival.mark)
+        drain = room.queue.cost / room.rate if room.rate > 0.0 else 0.0
+        come_back = room.calendar.promise(arrival.mark, ticket.held.cost, drain, now)
+        return TurnAway(arrival.id, come_back or 0.0, why)
+
+    def _remember(self, mark: str) -> None:
+        self.refused[mark] = None
+        self.refused.move_to_end(mark)
+        if len(self.refused) > self.settings.most_promises:
+            self.refused.popitem(last=False)
--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -48,6 +48,8 @@
     drain_grace: float
     shard_field: tuple[bytes, ...] = ()
     most_frame: int = codec.MOST_BYTES
+    tenant_of: tuple[str, ...] = ()  # sources of a tenant's name, the first that tells one counts
+    client_of: tuple[str, ...] = ()
     process_id: bson.ObjectId = field(default_factory=bson.ObjectId)
     connections: set[ClientConnection] = field(default_factory=set)
     accepted: int = 0
@@ -119,7 +121,7 @@
         self.replies = 0
         self.waiting: Any = None  # the timer of an awaited hello
         self.busy = self.clogged = self.reading_stopped = False
-        self.app_name = ""
+        self.app_name = self.address = ""
         self.compressors: list[str] = []
 
     # Flow
@@ -132,6 +134,7 @@
             context.log("client.turned_away", connection=self.number, why="too many connections")
             self.transport.abortConnection()
             return
+        self.address = str(getattr(self.transport.getPeer(), "host", ""))
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(_Outlet(self), True)
 
@@ -224,9 +227,29 @@
             request.session,
             placement.session_age,
             self.number,
+            *self._who(request),
         )
         self._await(request, context.engine.submit(command, self._answered(request)))
 
+    def _who(self, request: Request) -> tuple[str, str, str]:
+        """Tenant, client, and a mark that is the same for each try of one request."""
+        context = self.context
+        if not context.tenant_of:
+            return "", "", ""
+        told = {
+            "app_name": self.app_name,
+            "address": self.address,
+            "session": request.session,
+            "database": request.database,
+            "comment": request.facts.comment,
+            "connection": str(self.number),
+        }
+        tenant = next((told[source] for source in context.tenant_of if told[source]), "")
+        client = next((told[source] for source in context.client_of if told[source]), "")
+        number = bsonwalk.find(request.message.body, b"txnNumber") if request.facts.keyed else None
+        key = "" if number is None else str(bsonwalk.number(request.message.body, number))
+        return tenant, client, f"{tenant}/{client}/{request.name}/{request.namespace}/{key}"
+
     def _await(self, request: Request, account: Account) -> None:
         if account.open:
             self.account = account
--- a/sedgepitch/load/badday.py
+++ b/sedgepitch/load/badday.py
@@ -286,7 +286,13 @@
                 return
             wait = got.come_back or self.random.uniform(*RETRY_WAIT)
             other = driver if keyed else self.random.choice(sorted(self.callers))
-            self.reactor.callLater(wait, self._try, kind, other, session, tries + 1, op, started, key)
+            self.reactor.callLater(wait, again, other)
+
+        def again(other: str) -> None:
+            if self.drawing:
+                self._try(kind, other, session, tries + 1, op, started, key)
+            else:  # the day is over; what came of the first try stands
+                self._count(kind, Got(ask, "refused", 0.0), now() - started)
 
         self.callers[driver].send(ask, done)
 
--- a/sedgepitch/load/caller.py
+++ b/sedgepitch/load/caller.py
@@ -85,9 +85,13 @@
 
     def connectionMade(self) -> None:
         """Begin with what waits."""
-        self.up = True
         self.transport.setTcpNoDelay(True)
-        self._write()
+        if not self.caller.app_name:
+            self.up = True
+            self._write()
+            return
+        client = {"application": {"name": self.caller.app_name}}
+        self.transport.write(codec.build(bson.encode({"hello": 1, "client": client, "$db": "admin"}), 0, 0))
 
     def begin(self, ask: Ask, done: Callable[[Got], None]) -> None:
         """Carry one try."""
@@ -133,6 +137,10 @@
         except (WireError, bson.errors.BSONError):
             self.transport.abortConnection()
             return
+        if not self.up:  # hello is answered
+            self.up = True
+            self._write()
+            return
         if self.ask is None or message.response_to != self.number:
             self.caller.record("extra", d=self.caller.driver)
             return
@@ -172,8 +180,11 @@
 
     noisy = False
 
-    def __init__(self, reactor: Any, driver: str, address: tuple[str, int], record: RecordFile) -> None:
+    def __init__(
+        self, reactor: Any, driver: str, address: tuple[str, int], record: RecordFile, app_name: str = ""
+    ) -> None:
         self.reactor, self.driver, self.address, self.record = reactor, driver, address, record
+        self.app_name = app_name
         self.idle: list[Connection] = []
         self.opened = 0
 
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,355 @@
+"""The door: fair shares, promises, bounds; alone, in virtual time, and before the module."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sedgepitch.core.types import Command, Verdict
+from sedgepitch.decide.calendar import GRACE, SLOT, Calendar
+from sedgepitch.decide.door import LEAST_ALLOWANCE, Admit, Arrival, Door, DoorSettings, TurnAway
+from sedgepitch.decide.fairqueue import FairQueue, Held
+from tests.front import Front
+
+
+def arrival(number: int, tenant: str = "a", **changes) -> Arrival:
+    base = Arrival(number, tenant, "c", "map", 1.0, 1.0, 0, False, f"{tenant}/{number}")
+    return replace(base, **changes)
+
+
+class Fleet:
+    """Servers behind a door in virtual time: requests let in go to a free server, else wait inside."""
+
+    def __init__(self, door: Door, servers: int, rng: random.Random) -> None:
+        self.door, self.free, self.rng, self.now = door, servers, rng, 0.0
+        self.inside: list[tuple[int, float]] = []
+        self.heap: list[tuple[float, int, str, object]] = []
+        self.order = 0
+        self.cost: dict[int, float] = {}
+        self.tenant: dict[int, str] = {}
+        self.verdicts: dict[int, list] = {}
+        self.used: dict[str, float] = {}
+        self.most_held = 0
+
+    def at(self, when: float, what: str, item: object) -> None:
+        self.order += 1
+        heapq.heappush(self.heap, (when, self.order, what, item))
+
+    def ask(self, when: float, request: Arrival, cost: float) -> None:
+        self.cost[request.id], self.tenant[request.id] = cost, request.tenant
+        self.at(when, "ask", request)
+
+    def take(self, decisions) -> None:
+        for decision in decisions:
+            self.verdicts.setdefault(decision.id, []).append(decision)
+            if isinstance(decision, Admit):
+                self.inside.append((decision.id, self.now))
+        while self.free and self.inside:
+            number, _ = self.inside.pop(0)
+            self.free -= 1
+            self.at(self.now + self.cost[number], "done", number)
+            self.take(self.door.sent(number, self.now))
+
+    def run(self, until: float) -> None:
+        ticks = 0.0
+        while self.heap and self.heap[0][0] <= until:
+            self.now, _, what, item = heapq.heappop(self.heap)
+            if self.now > ticks:
+                ticks = self.now + 0.01
+                self.take(self.door.tick(self.now))
+            if what == "ask":
+                self.take(self.door.arrive(item, self.now))
+            else:
+                self.free += 1
+                tenant = self.tenant[item]
+                self.used[tenant] = self.used.get(tenant, 0.0) + self.cost[item]
+                self.take(self.door.ended(item, self.now, True))
+            self.most_held = max(self.most_held, self.door.held)
+
+
+def flood(rates: dict[str, float], cost, seconds=20.0, servers=4, seed=1, **changes) -> Fleet:
+    """Tenants that ask at these rates; `cost` gives a request's true cost by tenant."""
+    rng = random.Random(seed)
+    fleet = Fleet(Door(DoorSettings(**changes), seed, 0.0), servers, rng)
+    number = 0
+    for tenant, rate in rates.items():
+        when = 0.0
+        while (when := when + rng.expovariate(rate)) < seconds:
+            number += 1
+            client = f"{tenant}-{number % 3}"
+            fleet.ask(when, arrival(number, tenant, client=client), cost(tenant))
+    fleet.run(seconds)
+    return fleet
+
+
+def shares(fleet: Fleet) -> dict[str, float]:
+    total = sum(fleet.used.values())
+    return {tenant: used / total for tenant, used in sorted(fleet.used.items())}
+
+
+def test_a_tenant_at_ten_times_its_share_leaves_the_others_theirs():
+    got = shares(flood({"noisy": 4000.0, "b": 400.0, "c": 400.0}, lambda t: 0.01))
+    assert all(abs(share - 1 / 3) < 0.05 / 3 for share in got.values()), got
+
+
+def test_weights_count():
+    got = shares(flood({"a": 900.0, "b": 900.0}, lambda t: 0.01, weights={"a": 3.0}))
+    assert got["a"] == pytest.approx(0.75, abs=0.03)
+
+
+def test_shares_go_by_measured_cost_not_by_count():
+    got = shares(flood({"dear": 300.0, "cheap": 3000.0}, lambda t: 0.05 if t == "dear" else 0.005))
+    assert got["dear"] == pytest.approx(0.5, abs=0.05), got
+
+
+def test_what_one_does_not_use_the_others_may():
+    fleet = flood({"small": 20.0, "big": 2000.0}, lambda t: 0.01)
+    assert fleet.used["small"] > 0.95 * 20 * 20 * 0.01 * 0.9
+    assert sum(fleet.used.values()) > 0.95 * 4 * 20
+
+
+def test_ten_noisy_of_a_thousand_tenants():
+    rates = {f"t{n}": (400.0 if n < 10 else 0.2) for n in range(1000)}
+    fleet = flood(rates, lambda t: 0.01, seconds=10.0)
+    quiet = [n for n, tenant in fleet.tenant.items() if int(tenant[1:]) >= 10]
+    served = sum(isinstance(fleet.verdicts[n][0], Admit) for n in quiet if n in fleet.verdicts)
+    assert served / len(quiet) > 0.95
+    noisy = [fleet.used[f"t{n}"] for n in range(10)]
+    assert min(noisy) > 0.9 * max(noisy)
+
+
+def test_memory_stays_flat_over_ten_thousand_clients_that_ask_once():
+    rng = random.Random(1)
+    fleet = Fleet(Door(DoorSettings(most_held=200, most_debts=100, most_promises=500), 1, 0.0), 2, rng)
+    for number in range(10_000):
+        fleet.ask(number / 2000.0, arrival(number, f"t{number}"), 0.01)
+    fleet.run(60.0)
+    door = fleet.door
+    assert fleet.most_held <= 200
+    assert len(door.refused) <= 500
+    assert not door.tickets and not door.held and not len(door.wheel)
+    for room in door.rooms.values():
+        assert len(room.queue.debts) <= 100
+        assert len(room.calendar.promises) <= 500
+        assert not room.queue.tenants
+    assert set(fleet.verdicts) == set(range(10_000))
+
+
+def test_those_who_come_when_told_are_served():
+    rng = random.Random(3)
+    fleet = Fleet(Door(DoorSettings(), 3, 0.0), 4, rng)
+    number, promised, kept = 0, {}, 0
+    when = 0.0
+    while (when := when + rng.expovariate(800.0)) < 12.0:  # twice what the fleet can do
+        number += 1
+        fleet.ask(when, arrival(number, f"t{number % 20}", mark=f"m{number}"), 0.01)
+    due: list[tuple[float, str, str]] = []
+    for second in range(1, 1500):
+        fleet.run(second * 0.01)
+        for n, verdicts in list(fleet.verdicts.items()):
+            for verdict in verdicts:
+                if isinstance(verdict, TurnAway) and verdict.come_back > 0 and n not in promised:
+                    promised[n] = fleet.now + verdict.come_back
+                    number += 1
+                    again = arrival(number, fleet.tenant[n], mark=f"m{n}", time_left=0.5)
+                    fleet.ask(promised[n] + 0.01, again, 0.01)
+                    due.append((promised[n], number, n))
+    back = [new for at, new, _ in due if at < 13.0]
+    kept = sum(isinstance(fleet.verdicts[new][0], Admit) for new in back)
+    assert len(back) > 500
+    assert kept / len(back) >= 0.95
+
+
+def test_a_promise_holds_in_its_slot_not_before_and_once():
+    calendar = Calendar(100, 5.0, 1)
+    assert calendar.promise("x", 0.01, 0.0, 10.0) is None  # nothing measured yet
+    calendar.measured(1.0, 10.0)
+    told = calendar.promise("x", 0.01, 0.2, 10.0)
+    assert 0.2 <= told <= 0.2 + 3 * SLOT
+    assert not calendar.comes("x", 10.0 + 0.05)  # early: no advantage
+    assert calendar.promise("x", 0.01, 0.2, 10.1) == pytest.approx(told - 0.1)  # and it keeps the one it has
+    assert calendar.comes("x", 10.0 + told)
+    assert not calendar.comes("x", 10.0 + told)
+    late = calendar.promise("y", 0.01, 0.2, 10.0)
+    assert not calendar.comes("y", 10.0 + late + SLOT + GRACE + 0.01)
+
+
+def test_promises_never_exceed_the_room_and_the_latest_end_when_it_falls():
+    calendar = Calendar(10_000, 5.0, 1)
+    calendar.measured(4.0, 0.0)
+    told = [calendar.promise(f"c{n}", 0.01, 0.0, 0.0) for n in range(2000)]
+    assert None in told
+    assert all(booked <= 4.0 * SLOT * 0.5 + 1e-9 for booked in calendar.booked.values())
+    before = len(calendar.promises)
+    calendar.measured(2.0, 0.0)
+    assert all(booked <= 2.0 * SLOT * 0.5 + 0.01 for booked in calendar.booked.values())
+    assert 0.4 * before < len(calendar.promises) < 0.6 * before
+    assert calendar.ended == before - len(calendar.promises)
+
+
+def test_retries_stay_within_their_share_when_everything_fails():
+    door, now, admitted = Door(DoorSettings(), 1, 0.0), 0.0, 0
+    for number in range(500):
+        now += 0.002
+        door.arrive(arrival(number, mark=f"m{number}"), now)
+        door.sent(number, now)
+        door.ended(number, now + 0.001, False)
+    for number in range(500, 1500):  # all of them come back twice, at once
+        now += 0.0001
+        decisions = door.arrive(arrival(number, mark=f"m{number % 500}"), now)
+        if isinstance(decisions[0], Admit):
+            admitted += 1
+            door.sent(number, now)
+            door.ended(number, now, False)
+    assert admitted <= 0.2 * 500 + 6
+
+
+def test_a_request_that_cannot_be_reached_in_time_is_refused_at_once():
+    fleet = flood({"a": 2000.0}, lambda t: 0.01, seconds=5.0)
+    late = fleet.door.arrive(arrival(10**6, "a", client="a-0", time_left=0.001), fleet.now)
+    assert isinstance(late[0], TurnAway)
+    assert late[0].why == "its turn would come too late"
+
+
+def test_the_allowance_falls_with_refusals_inside_and_grows_again():
+    door = Door(DoorSettings(), 1, 0.0)
+    for number in range(40):
+        door.arrive(arrival(number), 0.0)
+        door.ended(number, 0.1, False)
+    (room,) = door.rooms.values()
+    assert room.allowance == LEAST_ALLOWANCE
+    for number in range(100, 400):
+        door.arrive(arrival(number), 1.0)
+        door.sent(number, 1.001)
+        door.ended(number, 1.01, True)
+    assert room.allowance == 16.0
+    assert room.waiting_inside == room.inside == 0
+
+
+def test_the_least_worthy_of_the_fullest_tenant_makes_room():
+    door = Door(DoorSettings(most_held=20, most_waiting_inside=2), 1, 0.0)
+    for number in range(22):
+        door.arrive(arrival(number, "noisy", worth=1.0 if number % 2 else 6.0), 0.0)
+    out = door.arrive(arrival(100, "quiet"), 0.0)
+    assert [type(d) for d in out] == [TurnAway]
+    assert out[0].id % 2 == 1  # worth 1
+    assert door.held == 20
+
+
+def test_new_weights_lose_nothing_that_waits():
+    door = Door(DoorSettings(most_waiting_inside=2), 1, 0.0)
+    for number in range(12):
+        door.arrive(arrival(number, "ab"[number % 2]), 0.0)
+    assert door.held == 10
+    door.reload(DoorSettings(weights={"a": 9.0}, most_waiting_inside=2))
+    let_in = []
+    for number in range(12):
+        let_in += [d.id for d in door.sent(number, 0.1)] if number in (0, 1, *let_in) else []
+    assert door.held == 0
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.tuples(st.integers(0, 4), st.integers(0, 2), st.floats(0.001, 0.05), st.booleans()), max_size=120
+    ),
+    st.lists(st.floats(0.5, 4.0), min_size=5, max_size=5),
+)
+def test_no_tenant_that_waits_falls_behind_another_by_more_than_a_request_each(plan, weights):
+    queue, used, number, most = FairQueue(1000), [0.0] * 5, 0, 0.05
+    held = {}
+    for tenant in range(5):  # all five wait from the beginning, and always have enough
+        for _ in range(200):
+            number += 1
+            cost = plan[number % len(plan)][2] if plan else 0.01
+            held[number] = Held(number, str(tenant), "c", 1.0, cost, weights[tenant])
+            queue.push(held[number])
+    for _ in range(300):
+        if min(t.waiting for t in queue.tenants.values()) < 2 or len(queue.tenants) < 5:
+            break
+        taken = queue.pop()
+        used[int(taken.tenant)] += taken.cost
+        for one in range(5):
+            for other in range(5):
+                apart = abs(used[one] / weights[one] - used[other] / weights[other])
+                assert apart <= most / weights[one] + most / weights[other] + 1e-9
+
+
+@settings(max_examples=200, deadline=None)
+@given(st.integers(0, 2**32))
+def test_each_request_is_decided_once_and_the_same_calls_give_the_same_decisions(seed):
+    def day() -> tuple[dict, int]:
+        rng = random.Random(seed)
+        door = Door(DoorSettings(most_held=15, most_waiting_inside=3, most_promises=20), seed, 0.0)
+        now, open_, told = 0.0, {}, {}
+
+        def take(decisions):
+            for decision in decisions:
+                told.setdefault(decision.id, []).append(decision)
+                if isinstance(decision, Admit):
+                    assert open_[decision.id] == "held"
+                    open_[decision.id] = "in"
+                else:
+                    assert open_.pop(decision.id) == "held"
+
+        for number in range(120):
+            now += rng.choice([0.0, 0.001, 0.02, 0.5, -0.1 if rng.random() < 0.05 else 0.0])
+            now = max(now, 0.0)
+            open_[number] = "held"
+            mark = f"m{rng.randrange(30)}"
+            changes = {"worth": rng.choice([1.0, 6.0]), "time_left": rng.choice([0.01, 0.3, 2.0])}
+            take(door.arrive(arrival(number, f"t{rng.randrange(5)}", mark=mark, **changes), now))
+            for other in list(open_):
+                draw = rng.random()
+                if draw < 0.1 and open_.get(other) == "in":
+                    take(door.sent(other, now))
+                elif draw < 0.2 and other in open_:
+                    del open_[other]
+                    take(door.ended(other, now, rng.random() < 0.8))
+            take(door.tick(now))
+            assert door.held == sum(state == "held" for state in open_.values()) <= 15
+            assert set(door.tickets) == set(open_)
+        return told, len(open_)
+
+    assert day() == day()
+
+
+def test_before_the_module_a_held_request_is_owed_an_answer_like_any_other():
+    front = Front()
+    front.engine.door = Door(DoorSettings(most_waiting_inside=2), 1, front.clock.now())
+    for member in front.engine.router.members.values():
+        member.limit = 0.0  # the module has room nowhere
+    answers = []
+    for number in range(8):
+        command = Command("note", 0, 0.5, "payload", tenant="t", client=str(number), mark=str(number))
+        front.engine.submit(command, answers.append)
+    front.turn()
+    assert front.engine.door.held == 6
+    assert len(front.engine.router.requests) == 2
+    for _ in range(60):
+        front.turn(0.01)
+    assert len(answers) == 8
+    assert {a.verdict for a in answers} == {Verdict.REFUSED}
+    assert not front.engine.ledger.accounts
+    assert front.engine.overdue == 0
+    assert not front.engine.door.tickets
+
+
+def test_a_client_that_leaves_while_held_is_let_go():
+    front = Front()
+    front.engine.door = Door(DoorSettings(most_waiting_inside=2), 1, front.clock.now())
+    for member in front.engine.router.members.values():
+        member.limit = 0.0
+    accounts = [
+        front.engine.submit(Command("note", 0, 0.5, "p", mark=str(n)), lambda a: None) for n in range(4)
+    ]
+    front.turn()
+    front.engine.gone(accounts[3])
+    front.turn()
+    assert front.engine.door.held == 1
+    assert accounts[3].id not in front.engine.door.tickets
