--- /dev/null
+++ b/benchmarks/door.py
@@ -0,0 +1,197 @@
+"""The door's parts against their plain twins, and what it costs and saves before the module.
+
+`python -m benchmarks.door`. Times are microseconds an operation within one run; about a minute.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+import time
+import tracemalloc
+from collections import deque
+from importlib.resources import files
+
+from benchmarks.rig import Rig
+from sedgepitch import interface as api
+from sedgepitch.config.load import parse
+from sedgepitch.decide.door import Admit, Arrival, Door, DoorSettings
+from sedgepitch.policy import Router
+from sedgepitch.structures.sketch import FadingSketch
+from sedgepitch.structures.wheel import Wheel
+
+SIZES = (1_000, 10_000, 100_000, 1_000_000)
+
+
+def timed(call, count: int) -> float:
+    """Microseconds an operation of `count`, all told by one call."""
+    began = time.perf_counter()
+    call()
+    return (time.perf_counter() - began) / count * 1e6
+
+
+def wheels(count: int) -> tuple[float, float]:
+    """Put in, cancel nine in ten, let the rest come due: the wheel, and a heap that skips the cancelled."""
+    rng = random.Random(1)
+    times = [rng.uniform(0.0, 2.0) for _ in range(count)]
+
+    def wheel() -> None:
+        held: Wheel[int] = Wheel(0.005, 0.0)
+        entries = [held.put(at, n) for n, at in enumerate(times)]
+        for n, entry in enumerate(entries):
+            if n % 10:
+                held.cancel(entry)
+        assert sum(1 for _ in held.advance(3.0)) == (count + 9) // 10
+
+    def heap() -> None:
+        held: list[tuple[float, int]] = []
+        for n, at in enumerate(times):
+            heapq.heappush(held, (at, n))
+        gone = {n for n in range(count) if n % 10}
+        due = 0
+        while held:
+            due += heapq.heappop(held)[1] not in gone
+        assert due == (count + 9) // 10
+
+    return timed(wheel, count), timed(heap, count)
+
+
+def sketches(count: int) -> tuple[float, float, float, float, float]:
+    """Add once for each of so many keys: time and bytes of sketch and dictionary, the sketch's mean error."""
+    keys = [f"tenant-{n}" for n in range(count)]
+
+    def size_of(make):
+        tracemalloc.start()
+        held = make()
+        taken = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        return held, taken
+
+    def sketch():
+        held = FadingSketch(4096, 16, 10.0, 1, 0.0)
+        for key in keys:
+            held.add(key, 1.0, 0.0)
+        return held
+
+    def plain():
+        held: dict[str, float] = {}
+        for key in keys:
+            held[key] = held.get(key, 0.0) + 1.0
+        return held
+
+    times = timed(sketch, count), timed(plain, count)
+    made, sketch_bytes = size_of(sketch)
+    _, plain_bytes = size_of(plain)
+    error = sum(made.estimate(k, 0.0) - 1.0 for k in keys[:1000]) / min(1000, count) / count
+    return *times, sketch_bytes / 1024, plain_bytes / 1024, error
+
+
+def door_call(clients: int, pressed: bool) -> tuple[float, float]:
+    """An arrival, its send and its end, by so many clients; and a dictionary of deques alone."""
+    count = 20_000
+    door = Door(DoorSettings(most_held=2000), 1, 0.0)
+    if pressed:
+        for n in range(8 + 1000):
+            door.arrive(Arrival(n, f"t{n % clients}", "c", "x", 1.0, 1e6, 0, False, str(n)), 0.0)
+
+    def call() -> None:
+        open_ = deque(range(8)) if pressed else deque()
+        for n in range(10_000, 10_000 + count):
+            now = n * 1e-6
+            name = f"t{n % clients}"
+            out = door.arrive(Arrival(n, name, "c", "x", 1.0, 1e6, 0, False, name), now)
+            open_ += [d.id for d in out if isinstance(d, Admit)]
+            if open_:
+                number = open_.popleft()
+                more = door.sent(number, now) + door.ended(number, now + 1e-6, True)
+                open_ += [d.id for d in more if isinstance(d, Admit)]
+
+    queues: dict[str, deque[int]] = {}
+    order: deque[str] = deque()
+
+    def twin() -> None:
+        for n in range(count):
+            name = f"t{n % clients}"
+            queue = queues.get(name)
+            if queue is None:
+                queue = queues[name] = deque()
+                order.append(name)
+            queue.append(n)
+            turn = order.popleft()
+            queues[turn].popleft()
+            if queues[turn]:
+                order.append(turn)
+            else:
+                del queues[turn]
+
+    return timed(call, count), timed(twin, count)
+
+
+def module_with_pending(pending: int, door: bool) -> float:
+    """A read's arrival and answer in the module while so many clients' writes have no primary to go to."""
+    settings = parse(files("sedgepitch.config").joinpath("example.yaml").read_text(), "example")
+    router = Router(settings.module_settings(), 1)
+    listings = tuple(api.Listing(n + 1, 0, api.State.UP, "north", n == 0) for n in range(8))
+    router.handle(10.0, [api.Members(listings, complete=True)])
+    router.members[1].limit = 0.0  # the primary has no room
+    gate = Door(DoorSettings(), 1, 10.0) if door else None
+    for n in range(pending):
+        number = 1_000_000 + n
+        if gate is not None:
+            arrival = Arrival(number, str(n % 50), str(n), "upload", 6.0, 2.0, 0, True, str(n))
+            if not any(isinstance(d, Admit) for d in gate.arrive(arrival, 10.0)):
+                continue
+        router.handle(10.0, [api.Arrived(number, "upload", 0, 2.0)])
+    count = 100 if pending and not door else 1000
+
+    def call() -> None:
+        for n in range(count):
+            now = 10.0 + n * 1e-5
+            actions = router.handle(now, [api.Arrived(n, "history-read", 0, 0.5)])
+            member = next(a.member for a in actions if isinstance(a, api.Send) and a.request == n)
+            router.handle(now, [api.Finished(n, 0, member, api.Result.OK, 0.002, True)])
+
+    return timed(call, count)
+
+
+def main() -> None:
+    """Print the tables."""
+    print(f"{'items':>10}{'wheel us':>10}{'heap us':>10}")
+    for count in SIZES:
+        wheel, heap = wheels(count)
+        print(f"{count:>10}{wheel:>10.2f}{heap:>10.2f}", flush=True)
+    print(
+        f"\n{'keys':>10}{'sketch us':>11}{'dict us':>9}{'sketch KiB':>12}{'dict KiB':>10}{'error/total':>13}"
+    )
+    for count in SIZES:
+        ours, plain, size, plain_size, error = sketches(count)
+        print(
+            f"{count:>10}{ours:>11.2f}{plain:>9.2f}{size:>12.0f}{plain_size:>10.0f}{error:>13.5f}", flush=True
+        )
+    print(f"\n{'clients':>10}{'open us':>10}{'pressed us':>12}{'dict of deques us':>19}")
+    for clients in (1, 100, 10_000, 1_000_000):
+        quiet, twin = door_call(clients, False)
+        pressed, _ = door_call(clients, True)
+        print(f"{clients:>10}{quiet:>10.2f}{pressed:>12.2f}{twin:>19.2f}", flush=True)
+    quiet = module_with_pending(0, False)
+    print(f"\none read in the module, 8 members: {quiet:.0f} us on a quiet path")
+    without, behind = module_with_pending(1000, False), module_with_pending(1000, True)
+    print(
+        f"1000 clients' writes pending: {without:.0f} us without the door, {behind:.0f} us behind it", end=""
+    )
+    print(f" ({without / behind:.0f} times less, {behind / quiet:.2f} of the quiet path)")
+    rig = Rig()
+    try:
+        ways = {"without": rig.driver("plain", door=False), "with": rig.driver("door")}
+        rates: dict[str, list[float]] = {way: [] for way in ways}
+        for _ in range(4):
+            for way, address in ways.items():
+                rates[way].append(rig.load(address, 32, 1.5)["rate"])
+        best = {way: sorted(values)[len(values) // 2] for way, values in rates.items()}
+        print(f"throughput at 32 connections with the door, of without: {best['with'] / best['without']:.2f}")
+    finally:
+        rig.stop()
+
+
+if __name__ == "__main__":
+    main()
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -107,7 +107,8 @@
                 self._enter(account)
             else:
                 why = f"at the door: {decision.why}"
-                self._settle(account, Answer(Verdict.REFUSED, come_back=decision.come_back, why=why))
+                told = decision.come_back
+                self._settle(account, Answer(Verdict.REFUSED, come_back=told, why=why, promised=told > 0))
 
     def _door_tick(self) -> None:
         assert self.door is not None
@@ -272,7 +273,10 @@
     def _refuse(self, action: api.Refuse) -> None:
         if (account := self.ledger.accounts.get(action.request)) is not None and account.open:
             why = account.last or "no member had room in time"
-            self._settle(account, Answer(Verdict.REFUSED, come_back=action.come_back, why=why))
+            promised = self.door.promise(account.id, self.clock.now()) if self.door is not None else 0.0
+            come_back = promised or action.come_back  # the module's is a hint, the door's is kept
+            answer = Answer(Verdict.REFUSED, come_back=come_back, why=why, promised=promised > 0)
+            self._settle(account, answer)
 
     def _fail(self, action: api.Fail) -> None:
         if (account := self.ledger.accounts.get(action.request)) is not None and account.open:
--- a/sedgepitch/core/types.py
+++ b/sedgepitch/core/types.py
@@ -55,6 +55,7 @@
     member: int | None = None
     come_back: float = 0.0
     why: str = ""
+    promised: bool = False  # come_back is a reservation, not a hint
 
 
 Answered = Callable[[Answer], None]
--- a/sedgepitch/decide/door.py
+++ b/sedgepitch/decide/door.py
@@ -16,7 +16,7 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
 from sedgepitch.decide.calendar import Calendar
@@ -26,7 +26,7 @@
 
 TICK = 0.005  # s; how exactly held requests end
 LEAST_ALLOWANCE = 2.0  # requests that may wait inside, whatever happens
-FALL, GROW = 0.7, 0.1  # the allowance after one was refused inside; and more after one was placed at once
+FALL, GROW = 0.7, 0.02  # the allowance after one was refused inside; and more after one was placed at once
 AT_ONCE = 0.01  # s; placed sooner than this is at once
 LEARN = 0.05  # weight of one answer in a class's usual cost
 SPAN = 0.5  # s over which the served rate is measured
@@ -43,7 +43,7 @@
     weights: dict[str, float] = field(default_factory=dict)
     default_weight: float = 1.0
     most_held: int = 2000
-    most_waiting_inside: int = 16
+    most_waiting_inside: int = 8
     hold_share: float = 0.4  # of a request's time that it may be held
     most_debts: int = 4096
     most_promises: int = 10_000
@@ -104,6 +104,7 @@
 
     def __init__(self, settings: DoorSettings, seed: int, now: float) -> None:
         self.queue = FairQueue(settings.most_debts)
+        self.promised: deque[Held] = deque()  # who came when told: next, as soon as one more may wait inside
         self.calendar = Calendar(settings.most_promises, settings.horizon, seed)
         self.most = float(settings.most_waiting_inside)
         self.allowance = self.most
@@ -157,12 +158,18 @@
         promised = room.calendar.comes(arrival.mark, now)
         again = self.refused.pop(arrival.mark, True) is None
         if not again:
-            self.first_tries.add(arrival.tenant, 1.0, now)
+            self.first_tries.gather(arrival.tenant, 1.0, now)
         elif not promised and self._too_many_retries(arrival.tenant, now):
             return [self._turn_away(ticket, now, "too many retries")]
-        if promised or (not room.queue.waiting and room.waiting_inside < room.allowance):
+        may_enter = room.waiting_inside < room.allowance
+        if may_enter and ((promised and not room.promised) or not room.queue.waiting):
             room.queue.served_at_once(arrival.tenant, cost, weight)
             return [self._admit(ticket, now)]
+        if promised:
+            room.promised.append(held)
+            self.held += 1
+            ticket.entry = self.wheel.put(until, arrival.id)
+            return []
         if self._wait(room, held) > until - now:
             return [self._turn_away(ticket, now, "its turn would come too late")]
         out: list[Decision] = []
@@ -199,7 +206,7 @@
             if ticket.entry is not None:
                 self.wheel.cancel(ticket.entry)
                 self.held -= 1
-                room.queue.drop(held)
+                self._drop(room, held)
             return []
         room.inside -= 1
         if ticket.sent_at < 0:
@@ -210,7 +217,7 @@
             cost = now - ticket.sent_at
             room.served += cost
             room.queue.correct(arrival.tenant, cost - held.cost, held.weight)
-            self.usage.add(arrival.tenant, cost, now)
+            self.usage.gather(arrival.tenant, cost, now)
             if served:
                 usual = self.costs.get(arrival.class_name, FIRST_COST)
                 self.costs[arrival.class_name] = usual + LEARN * (cost - usual)
@@ -219,6 +226,11 @@
         room.measure(now)
         return self._let_in(room, now)
 
+    def promise(self, number: int, now: float) -> float:
+        """A time to come back at for a request that is refused inside, in seconds from now; 0 for none."""
+        ticket = self.tickets.get(number)
+        return 0.0 if ticket is None else self._promise(ticket, 0.0, now)
+
     def tick(self, now: float) -> list[Decision]:
         """End what has been held for as long as it may be."""
         out: list[Decision] = []
@@ -226,7 +238,7 @@
             ticket = self.tickets[number]
             ticket.entry = None
             self.held -= 1
-            ticket.room.queue.drop(ticket.held)
+            self._drop(ticket.room, ticket.held)
             out.append(self._turn_away(ticket, now, "held for as long as it may be"))
         return out
 
@@ -251,7 +263,7 @@
                 "held": room.queue.waiting,
                 "tenants_held": len(room.queue.tenants),
                 "served_per_s": round(room.rate, 4),
-                "promises": len(room.calendar.promises),
+                "promises": len(room.calendar.all),
                 "promises_ended": room.calendar.ended,
             }
             for (group, side), room in sorted(self.rooms.items())
@@ -315,7 +327,7 @@
     def _let_in(self, room: _Room, now: float) -> list[Decision]:
         out: list[Decision] = []
         while room.waiting_inside < room.allowance:
-            held = room.queue.pop()
+            held = self._next(room)
             if held is None:
                 break
             ticket = self.tickets[held.id]
@@ -326,6 +338,21 @@
             out.append(self._admit(ticket, now))
         return out
 
+    def _drop(self, room: _Room, held: Held) -> None:
+        if held in room.promised:
+            room.promised.remove(held)
+            held.gone = True
+        else:
+            room.queue.drop(held)
+
+    def _next(self, room: _Room) -> Held | None:
+        while room.promised:
+            held = room.promised.popleft()
+            if not held.gone:
+                room.queue.served_at_once(held.tenant, held.cost, held.weight)
+                return held
+        return room.queue.pop()
+
     def _turn_away(self, ticket: _Ticket, now: float, why: str) -> TurnAway:
         """Refuse, with a time where one can be promised."""
         arrival, room = ticket.arrival, ticket.room
@@ -336,8 +363,18 @@
         self.tickets.pop(arrival.id, None)
         self._remember(arrival.mark)
         drain = room.queue.cost / room.rate if room.rate > 0.0 else 0.0
-        come_back = room.calendar.promise(arrival.mark, ticket.held.cost, drain, now)
-        return TurnAway(arrival.id, come_back or 0.0, why)
+        return TurnAway(arrival.id, self._promise(ticket, drain, now), why)
+
+    def _promise(self, ticket: _Ticket, after: float, now: float) -> float:
+        """A time to come back at, within the tenant's share of the room; 0 where none can be promised."""
+        room, held = ticket.room, ticket.held
+        others = set(room.queue.tenants) | set(room.calendar.tenants)
+        others.discard(held.tenant)
+        weights = self.settings.weights
+        total = held.weight + sum(weights.get(t, self.settings.default_weight) for t in others)
+        share = held.weight / total
+        told = room.calendar.promise(ticket.arrival.mark, held.tenant, held.cost, share, after, now)
+        return told or 0.0
 
     def _remember(self, mark: str) -> None:
         self.refused[mark] = None
--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -248,7 +248,9 @@
         client = next((told[source] for source in context.client_of if told[source]), "")
         number = bsonwalk.find(request.message.body, b"txnNumber") if request.facts.keyed else None
         key = "" if number is None else str(bsonwalk.number(request.message.body, number))
-        return tenant, client, f"{tenant}/{client}/{request.name}/{request.namespace}/{key}"
+        # A stock client tries again in the same session, on whatever connection.
+        who = request.session or str(self.number)
+        return tenant, client, f"{tenant}/{who}/{request.name}/{request.namespace}/{key}"
 
     def _await(self, request: Request, account: Account) -> None:
         if account.open:
@@ -266,7 +268,7 @@
                 return
             writes = request.facts.writes
             if answer.verdict is Verdict.REFUSED:
-                body = errors.refused(answer.why, answer.come_back, writes)
+                body = errors.refused(answer.why, answer.come_back, writes, answer.promised)
             else:
                 body = errors.failed(answer.why, writes)
             self._reply(request.message, body)
--- a/sedgepitch/fronts/mongo/errors.py
+++ b/sedgepitch/fronts/mongo/errors.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 import bson
 
 REFUSED = (462, "IngressRequestRateLimitExceeded")
@@ -19,8 +21,8 @@
     return bson.encode({"ok": 0.0, "errmsg": text, "code": code, "codeName": name})
 
 
-def refused(why: str, come_back: float, writes: bool) -> bytes:
-    """Return a refusal; come_back in seconds, 0 for no advice."""
+def refused(why: str, come_back: float, writes: bool, promised: bool = False) -> bytes:
+    """Return a refusal; come_back in seconds, 0 for no advice; promised where room is kept for that time."""
     labels = ["RetryableError", "SystemOverloadedError", "NoWritesPerformed"]
     document = {
         "ok": 0.0,
@@ -30,7 +32,8 @@
         "errorLabels": [*labels, "RetryableWriteError"] if writes else labels,
     }
     if come_back > 0:
-        document["retryAfterMS"] = max(1, round(come_back * 1000.0))
+        document["retryAfterMS"] = math.ceil(come_back * 1000.0)
+        document["promised"] = promised
     return bson.encode(document)
 
 
--- a/sedgepitch/structures/sketch.py
+++ b/sedgepitch/structures/sketch.py
@@ -16,6 +16,8 @@
 
 DEPTH = 4
 RESCALE = 1e30
+GATHER = 256  # keys whose amounts are gathered before they are added
+GATHER_FOR = 0.25  # s; an amount fades from at most so much too late a time, so it is never too small
 
 
 class FadingSketch:
@@ -30,6 +32,23 @@
         self.rows = [array("d", bytes(8 * width)) for _ in range(DEPTH)]
         self.names: dict[str, float] = {}
         self.total = 0.0
+        self.gathered: dict[str, float] = {}
+        self.gathered_from = now
+
+    def gather(self, key: str, amount: float, now: float) -> None:
+        """Add an amount a little later, together with others: for few keys a tenth of the cost."""
+        if not self.gathered:
+            self.gathered_from = now
+        elif len(self.gathered) >= GATHER or now - self.gathered_from > GATHER_FOR:
+            self._settle(now)
+            self.gathered_from = now
+        self.gathered[key] = self.gathered.get(key, 0.0) + amount
+
+    def _settle(self, now: float) -> None:
+        gathered, self.gathered = self.gathered, {}
+        at = min(now, self.gathered_from + GATHER_FOR)
+        for key, amount in gathered.items():
+            self.add(key, amount, at)
 
     def add(self, key: str, amount: float, now: float) -> float:
         """Add an amount of a key; returns the estimate with it."""
@@ -51,11 +70,13 @@
 
     def estimate(self, key: str, now: float) -> float:
         """Return what the key has used lately: never too little."""
+        self._settle(now)
         scale, cells = self._scale(now), self._cells(key)  # in this order: scaling may change the cells
         return min(row[cell] for row, cell in zip(self.rows, cells, strict=True)) / scale
 
     def largest(self, now: float) -> list[tuple[str, float]]:
         """Return the largest keys and their amounts, the largest first."""
+        self._settle(now)
         scale = self._scale(now)
         return sorted(((k, v / scale) for k, v in self.names.items()), key=lambda kv: -kv[1])
 
