Requests let in at one turn do not count as waiting inside, except under a flood

Need: on a quiet path requests that came in step were held at the door for a turn or two, before the module had even seen them.

Change: where nothing waits and nothing has been held lately, 32 may enter at a turn.

--- a/sedgepitch/config/models.py
+++ b/sedgepitch/config/models.py
@@ -145,6 +145,7 @@
     default_weight: float = Field(1.0, gt=0)
     most_held: int = Field(2000, ge=1)
     most_waiting_inside: int = Field(8, ge=2)
+    most_at_a_turn: int = Field(32, ge=2)
     hold_share: float = Field(0.4, gt=0, lt=1)
     most_debts: int = Field(4096, ge=16)
     most_promises: int = Field(10_000, ge=1)
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -195,6 +195,8 @@
                 events, self.events = self.events, []
                 for action in self.router.handle(self.clock.now(), events):
                     self._carry[type(action)](action)
+                if self.door is not None:
+                    self._decided(self.door.seen(self.clock.now()))
         finally:
             self.flushing = False
         self.ledger.sweep()
--- a/sedgepitch/decide/door.py
+++ b/sedgepitch/decide/door.py
@@ -44,6 +44,7 @@
     default_weight: float = 1.0
     most_held: int = 2000
     most_waiting_inside: int = 8
+    most_at_a_turn: int = 32  # let in before the module has seen them, where none waits inside
     hold_share: float = 0.4  # of a request's time that it may be held
     most_debts: int = 4096
     most_promises: int = 10_000
@@ -95,6 +96,7 @@
     came: float
     until: float
     entry: Entry[int] | None = None
+    turn: int = -1  # of its room, when it was let in
     admitted_at: float = -1.0
     sent_at: float = -1.0
 
@@ -107,14 +109,28 @@
         self.promised: deque[Held] = deque()  # who came when told: next, as soon as one more may wait inside
         self.calendar = Calendar(settings.most_promises, settings.horizon, seed)
         self.most = float(settings.most_waiting_inside)
+        self.at_a_turn = settings.most_at_a_turn
         self.allowance = self.most
         self.waiting_inside = 0
+        self.turn = self.unseen = 0  # of those waiting inside, let in since the module was last asked
         self.inside = 0
         self.served = 0.0  # cost since the span began
         self.span_from = now
         self.rate = 0.0  # cost served a second, as far as it has been seen
         self.pressed = False  # something was held in this span
 
+    def may_enter(self) -> bool:
+        """Whether one more may be let in."""
+        waits = self.waiting_inside - self.unseen
+        calm = not waits and not self.pressed and self.allowance >= self.most
+        return self.unseen < (self.at_a_turn if calm else self.allowance - waits)
+
+    def left_waiting(self, turn: int) -> None:
+        """One that was let in at that turn waits no more."""
+        self.waiting_inside -= 1
+        if turn == self.turn:
+            self.unseen -= 1
+
     def measure(self, now: float) -> None:
         """Once a span: a room that was pressed shows its capacity, another one only that it has as much."""
         passed = now - self.span_from
@@ -161,7 +177,7 @@
             self.first_tries.gather(arrival.tenant, 1.0, now)
         elif not promised and self._too_many_retries(arrival.tenant, now):
             return [self._turn_away(ticket, now, "too many retries")]
-        may_enter = room.waiting_inside < room.allowance
+        may_enter = room.may_enter()
         if may_enter and ((promised and not room.promised) or not room.queue.waiting):
             room.queue.served_at_once(arrival.tenant, cost, weight)
             return [self._admit(ticket, now)]
@@ -191,7 +207,7 @@
             return []
         ticket.sent_at = now
         room = ticket.room
-        room.waiting_inside -= 1
+        room.left_waiting(ticket.turn)
         if now - ticket.admitted_at < AT_ONCE:
             room.allowance = min(room.most, room.allowance + GROW)
         return self._let_in(room, now)
@@ -210,7 +226,7 @@
             return []
         room.inside -= 1
         if ticket.sent_at < 0:
-            room.waiting_inside -= 1
+            room.left_waiting(ticket.turn)
             if not served:  # it waited inside for nothing: fewer may wait there
                 room.allowance = max(LEAST_ALLOWANCE, room.allowance * FALL)
         else:
@@ -231,6 +247,17 @@
         ticket = self.tickets.get(number)
         return 0.0 if ticket is None else self._promise(ticket, 0.0, now)
 
+    def seen(self, now: float) -> list[Decision]:
+        """The module has been asked about all that was let in; what it did not send waits inside."""
+        out: list[Decision] = []
+        for room in self.rooms.values():
+            if room.unseen:
+                room.turn += 1
+                room.unseen = 0
+                if room.queue.waiting or room.promised:
+                    out += self._let_in(room, now)
+        return out
+
     def tick(self, now: float) -> list[Decision]:
         """End what has been held for as long as it may be."""
         out: list[Decision] = []
@@ -247,6 +274,7 @@
         self.settings = settings
         for room in self.rooms.values():
             room.most = float(settings.most_waiting_inside)
+            room.at_a_turn = settings.most_at_a_turn
             room.allowance = min(room.allowance, room.most)
             room.queue.most_debts = settings.most_debts
             room.calendar.most, room.calendar.horizon = settings.most_promises, settings.horizon
@@ -320,13 +348,15 @@
 
     def _admit(self, ticket: _Ticket, now: float) -> Admit:
         ticket.admitted_at = now
+        ticket.turn = ticket.room.turn
+        ticket.room.unseen += 1
         ticket.room.waiting_inside += 1
         ticket.room.inside += 1
         return Admit(ticket.arrival.id)
 
     def _let_in(self, room: _Room, now: float) -> list[Decision]:
         out: list[Decision] = []
-        while room.waiting_inside < room.allowance:
+        while room.may_enter():
             held = self._next(room)
             if held is None:
                 break
