A client that goes on asking is no retry: only keyed writes are recognised as tried again

Cause: the door took a request for a retry by its session or connection and kind. A connection that asked one thing after another was refused once, counted as a retry from then on, and each refusal renewed that: it was turned away as 'too many retries' for ever.

Change: a retry is recognised by session and key alone; the mark by which a promise is known stays.

--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -82,6 +82,7 @@
             command.group,
             cls.freshness in (Freshness.WRITE, Freshness.FRESH),
             command.mark,
+            command.key,
         )
         self._decided(self.door.arrive(arrival, self.clock.now()))
         if not self.door_ticking:
--- a/sedgepitch/core/types.py
+++ b/sedgepitch/core/types.py
@@ -31,7 +31,8 @@
     connection: int = 0  # the client connection it came on, for the log
     tenant: str = ""  # for the door, as are the next two
     client: str = ""
-    mark: str = ""  # the same for each try of one request, where the protocol shows it
+    mark: str = ""
+    key: str = ""  # the same for each try of one request and no other, where the protocol shows it
 
 
 @dataclass(slots=True, eq=False)  # made for each request: frozen ones cost twice as much
--- a/sedgepitch/decide/door.py
+++ b/sedgepitch/decide/door.py
@@ -54,7 +54,11 @@
 
 @dataclass(slots=True)
 class Arrival:
-    """A request before the door. `mark` is the same for each try of one request."""
+    """A request before the door.
+
+    `mark` tells who may come on a promise; `key` is the same for each try of one request and no other, empty
+    where the protocol does not show that.
+    """
 
     id: int
     tenant: str
@@ -65,6 +69,7 @@
     group: int
     primary_only: bool
     mark: str
+    key: str = ""
 
 
 @dataclass(slots=True)
@@ -155,7 +160,7 @@
         self.wheel: Wheel[int] = Wheel(TICK, now)
         self.costs: dict[str, float] = {}
         self.held = 0
-        self.refused: OrderedDict[str, None] = OrderedDict()  # marks of requests lately refused
+        self.refused: OrderedDict[str, None] = OrderedDict()  # keys of requests lately refused
         self.usage = FadingSketch(WIDTH, 16, 30.0, seed, now)
         self.first_tries = FadingSketch(WIDTH, 1, RETRY_HALF_LIFE, seed + 1, now)
         self.retries = FadingSketch(WIDTH, 1, RETRY_HALF_LIFE, seed + 2, now)
@@ -172,7 +177,7 @@
         until = now + arrival.time_left * self.settings.hold_share
         ticket = self.tickets[arrival.id] = _Ticket(arrival, held, room, now, until)
         promised = room.calendar.comes(arrival.mark, now)
-        again = self.refused.pop(arrival.mark, True) is None
+        again = bool(arrival.key) and self.refused.pop(arrival.key, True) is None
         if not again:
             self.first_tries.gather(arrival.tenant, 1.0, now)
         elif not promised and self._too_many_retries(arrival.tenant, now):
@@ -238,7 +243,7 @@
                 usual = self.costs.get(arrival.class_name, FIRST_COST)
                 self.costs[arrival.class_name] = usual + LEARN * (cost - usual)
         if not served:
-            self._remember(arrival.mark)
+            self._remember(arrival.key)
         room.measure(now)
         return self._let_in(room, now)
 
@@ -391,7 +396,7 @@
             ticket.entry = None
             self.held -= 1
         self.tickets.pop(arrival.id, None)
-        self._remember(arrival.mark)
+        self._remember(arrival.key)
         drain = room.queue.cost / room.rate if room.rate > 0.0 else 0.0
         return TurnAway(arrival.id, self._promise(ticket, drain, now), why)
 
@@ -406,8 +411,10 @@
         told = room.calendar.promise(ticket.arrival.mark, held.tenant, held.cost, share, after, now)
         return told or 0.0
 
-    def _remember(self, mark: str) -> None:
-        self.refused[mark] = None
-        self.refused.move_to_end(mark)
+    def _remember(self, key: str) -> None:
+        if not key:
+            return
+        self.refused[key] = None
+        self.refused.move_to_end(key)
         if len(self.refused) > self.settings.most_promises:
             self.refused.popitem(last=False)
--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -231,11 +231,11 @@
         )
         self._await(request, context.engine.submit(command, self._answered(request)))
 
-    def _who(self, request: Request) -> tuple[str, str, str]:
-        """Tenant, client, and a mark that is the same for each try of one request."""
+    def _who(self, request: Request) -> tuple[str, str, str, str]:
+        """Tenant, client, a mark for promises, and the key that only tries of one request share."""
         context = self.context
         if not context.tenant_of:
-            return "", "", ""
+            return "", "", "", ""
         told = {
             "app_name": self.app_name,
             "address": self.address,
@@ -250,7 +250,8 @@
         key = "" if number is None else str(bsonwalk.number(request.message.body, number))
         # A stock client tries again in the same session, on whatever connection.
         who = request.session or str(self.number)
-        return tenant, client, f"{tenant}/{who}/{request.name}/{request.namespace}/{key}"
+        mark = f"{tenant}/{who}/{request.name}/{request.namespace}/{key}"
+        return tenant, client, mark, f"{who}/{key}" if key else ""
 
     def _await(self, request: Request, account: Account) -> None:
         if account.open:
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -230,12 +230,12 @@
     door, now, admitted = Door(DoorSettings(), 1, 0.0), 0.0, 0
     for number in range(500):
         now += 0.002
-        door.arrive(arrival(number, mark=f"m{number}"), now)
+        door.arrive(arrival(number, key=f"m{number}"), now)
         door.sent(number, now)
         door.ended(number, now + 0.001, False)
     for number in range(500, 1500):  # all of them come back twice, at once
         now += 0.0001
-        decisions = door.arrive(arrival(number, mark=f"m{number % 500}"), now)
+        decisions = door.arrive(arrival(number, key=f"m{number % 500}"), now)
         if isinstance(decisions[0], Admit):
             admitted += 1
             door.sent(number, now)
@@ -243,6 +243,14 @@
     assert admitted <= 0.2 * 500 + 6
 
 
+def test_a_client_that_goes_on_asking_is_not_taken_for_one_that_tries_again():
+    door = Door(DoorSettings(), 1, 0.0)
+    for number in range(300):  # one connection, no key, all refused inside
+        door.arrive(arrival(number, mark="one connection"), number * 0.001)
+        door.ended(number, number * 0.001, False)
+    assert isinstance(door.arrive(arrival(1000, mark="one connection"), 0.4)[0], Admit)
+
+
 def test_a_request_that_cannot_be_reached_in_time_is_refused_at_once():
     fleet = flood({"a": 2000.0}, lambda t: 0.01, seconds=5.0)
     late = fleet.door.arrive(arrival(10**6, "a", client="a-0", time_left=0.001), fleet.now)
