A driver that has just started can be asked for a session's read before it knows members

Cause: the positions of a group were made by the first member list, but the listener is open before it; a read with afterClusterTime in between ended its connection with a KeyError.

Change: the positions of a group are there when asked for; with no mark, the write counts as made just now.

--- a/sedgepitch/fronts/mongo/member.py
+++ b/sedgepitch/fronts/mongo/member.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -234,7 +235,8 @@
         self.app_name, self.limits = app_name, limits
         self.probe_within, self.mark_age = probe_within, mark_age
         self.links: dict[int, _Link] = {}
-        self.positions: dict[int, GroupPositions] = {}
+        # A group may be asked of before any list has named its members, as by a driver that has just started.
+        self.positions: defaultdict[int, GroupPositions] = defaultdict(GroupPositions)
         self.hello = hello_command(app_name)
 
     # The engine's side
@@ -242,7 +244,6 @@
     def listed(self, listings: tuple[Listing, ...], complete: bool) -> None:
         """Open pools for new members; one that is gone keeps its pool for what is under way."""
         for listing in listings:
-            self.positions.setdefault(listing.group, GroupPositions())
             address = self.addresses.get(listing.member)
             link = self.links.get(listing.member)
             if address is None:
--- a/tests/test_positions.py
+++ b/tests/test_positions.py
@@ -7,7 +7,9 @@
 from hypothesis import event, given, settings
 from hypothesis import strategies as st
 
+from sedgepitch.core.pool import PoolLimits
 from sedgepitch.decide.positions import LEAP, MOST_MARKS, NOTHING_KNOWN, GroupPositions, Marks
+from sedgepitch.fronts.mongo.member import MongoMembers
 
 
 def test_an_idle_primary_keeps_a_replica_fresh_that_has_everything():
@@ -103,6 +105,11 @@
     assert group.session_need((2**31, 1), 12.0) == 12.0
 
 
+def test_a_group_that_no_list_has_named_yet_can_be_asked_of():
+    members = MongoMembers(None, None, {}, "one", PoolLimits(), 0.25, 0.125)
+    assert members.positions[0].session_need((5, 1), 12.0) == 12.0
+
+
 def test_marks_stay_few():
     marks = Marks()
     for n in range(10 * MOST_MARKS):
