--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -184,6 +184,9 @@
 @click.option("--keep", type=click.Path(file_okay=False), help="Keep records and logs in this directory.")
 @click.option("--driver-module", default="sedgepitch", hidden=True, help="Drivers to try the audit on.")
 @click.option("--slack", default=0.25, show_default=True, type=float, help="Of the audit, seconds.")
+@click.option(
+    "--burners", default=0, type=click.IntRange(0, 16), help="Processes that share a driver's core."
+)
 def badday(
     seed: int,
     length: float,
@@ -192,12 +195,13 @@
     keep: str | None,
     driver_module: str,
     slack: float,
+    burners: int,
 ) -> None:
     """Play a bad day on loopback sockets and check the five rules from the recorded traffic."""
     from sedgepitch.load.badday import BadDay, DayError, table
 
     try:
-        day = BadDay(seed, length, script, keep, driver_module, slack=slack)
+        day = BadDay(seed, length, script, keep, driver_module, slack=slack, burners=burners)
         result = day.run(progress=sys.stderr.isatty())
     except DayError as error:
         raise click.ClickException(str(error)) from None
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -28,6 +28,7 @@
 from sedgepitch.policy import Router
 
 TICK = 0.01  # s between looks at deadlines and at what the door holds, while an answer is owed
+LEAST_TIME = 0.02  # s beyond the driver's own delay below which a request is refused on arrival
 OVERDUE = 0.02  # s past its time after which an answer that no decision brought is given here
 NEVER = float("inf")
 
@@ -210,7 +211,7 @@
             self._settle(account, Answer(Verdict.REFUSED, why=why))
         elif account.deadline <= now:
             self._settle(account, Answer(Verdict.REFUSED, why="no time left"))
-        elif account.until <= now + OVERDUE and reserve > 0.0:
+        elif account.until <= now + LEAST_TIME and reserve > 0.0:
             self.too_slow += 1
             clears = self.pace.clears_in(command.time_left, now)
             why = f"this driver is {reserve:.3f} s late"
--- a/sedgepitch/fronts/mongo/commands.py
+++ b/sedgepitch/fronts/mongo/commands.py
@@ -63,7 +63,8 @@
     clusterDelete clusterFind clusterGetMore clusterInsert clusterUpdate collMod collStats
     commitReshardCollection commitTransaction compact compactStructuredEncryptionData configureFailPoint
     configureQueryAnalyzer connPoolStats connPoolSync connectionStatus convertToCapped
-    coordinateCommitTransaction create createIndexes createRole createSearchIndexes createUser currentOp dataSize dbHash dbStats
+    coordinateCommitTransaction create createIndexes createRole createSearchIndexes createUser currentOp
+    dataSize dbHash dbStats
     driverOIDTest drop dropAllRolesFromDatabase dropAllUsersFromDatabase dropConnections dropDatabase
     dropIndexes dropRole dropSearchIndex dropUser enableSharding eval explain features filemd5
     flushRouterConfig fsync fsyncUnlock getAuditConfig getClusterParameter getCmdLineOpts getDatabaseVersion
--- a/sedgepitch/load/badday.py
+++ b/sedgepitch/load/badday.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import json
+import os
 import random
+import subprocess
 import sys
 import tempfile
 from dataclasses import dataclass, field
@@ -121,8 +123,9 @@
         rate: float = RATE,
         slack: float = 0.25,
         settings: dict[str, Any] | None = None,
+        burners: int = 0,
     ) -> None:
-        self.seed, self.length, self.keep = seed, length, keep
+        self.seed, self.length, self.keep, self.burners = seed, length, keep, burners
         self.random = random.Random(seed)
         self.driver_module, self.rate, self.slack = driver_module, rate, slack
         self.settings = settings or day_settings()
@@ -137,6 +140,7 @@
         self.under_way = 0
         self.drawing = True
         self.errors: list[str] = []
+        self.burning: list[subprocess.Popen[bytes]] = []
 
     def _script(self, path: str | None) -> list[dict[str, Any]]:
         try:
@@ -171,6 +175,9 @@
                 raise DayError(str(error)) from None
             finally:
                 stage.stop()
+                for burner in self.burning:
+                    burner.kill()
+                    burner.wait()
 
     def _play(self, stage: Stage, directory: Path, progress: bool) -> dict[str, Any]:
         from twisted.internet import reactor
@@ -182,8 +189,10 @@
         for number in range(1, DRIVERS + 1):
             name = f"driver-{number}"
             zone = "north" if number % 2 else "south"
+            self._slow_down(number)
             address = stage.driver(name, driver={"zone": zone, "seed": self.seed * 100 + number})
             self.callers[name] = Caller(reactor, name, address, record)
+            self._pin(name, number)
             self.sessions[name] = [
                 Session(bson.Binary(self.random.randbytes(16), 4)) for _ in range(SESSIONS)
             ]
@@ -263,7 +272,7 @@
                 command["readConcern"] = {"afterClusterTime": session.after}
         command |= {"$db": "sky", "comment": comment}
         patience = kind.deadline * self.random.uniform(0.4, 1.0)
-        leaves = self.random.random() < 0.01
+        leaves = self.random.random() < 0.02  # half of them before their request can have been read
         ask = Ask(
             rid=rid,
             op=op,
@@ -274,7 +283,7 @@
             writes=writes,
             keyed=keyed,
             need=session.last_write if kind.freshness == "session" else None,
-            leave_after=self.random.uniform(0.0, 0.02) if leaves else None,
+            leave_after=max(0.0, self.random.uniform(-0.02, 0.02)) if leaves else None,
         )
         self.under_way += 1
 
@@ -341,6 +350,25 @@
 
     def _start(self, name: str) -> None:
         self.stage.driver(name)
+        self._pin(name, int(name.rpartition("-")[2]))
+
+    # A slow machine: each driver on a core that it shares with so many processes that only compute
+
+    def _core(self, number: int) -> int:
+        cores = sorted(os.sched_getaffinity(0))
+        return cores[-number % len(cores)]
+
+    def _slow_down(self, number: int) -> None:
+        lasts = self.length + 30.0  # bounded, whatever becomes of this process
+        text = f"import time\nend = time.monotonic() + {lasts}\nwhile time.monotonic() < end: pass"
+        for _ in range(self.burners):
+            burner = subprocess.Popen([sys.executable, "-c", text])
+            os.sched_setaffinity(burner.pid, {self._core(number)})
+            self.burning.append(burner)
+
+    def _pin(self, name: str, number: int) -> None:
+        if self.burners:
+            os.sched_setaffinity(self.stage.drivers[name].process.pid, {self._core(number)})
 
     def _fault(self, do: str, fields: dict[str, Any]) -> None:
         self.stage.fault(do, **fields)
--- a/sedgepitch/load/caller.py
+++ b/sedgepitch/load/caller.py
@@ -37,7 +37,7 @@
     writes: bool
     keyed: bool
     need: str | None = None  # the rid of the session's last write that the read must see
-    leave_after: float | None = None  # s after which the client leaves without its answer
+    leave_after: float | None = None  # s after which the client leaves without its answer; 0 for at once
     asked: float = 0.0
 
 
@@ -97,7 +97,9 @@
         self.caller.record(
             "ask", t=ask.asked, by=ask.asked + ask.patience, keyed=ask.keyed, need=ask.need, **record
         )
-        if ask.leave_after is not None:
+        if ask.leave_after == 0.0:
+            self._leave()
+        elif ask.leave_after is not None:
             self.timer = self.caller.reactor.callLater(ask.leave_after, self._leave)
         else:
             # A client that is never answered gives up long after its time; the audit has then seen it.
--- a/tests/culprit.py
+++ b/tests/culprit.py
@@ -1,6 +1,6 @@
 """Drivers with one guard removed each, which the audit must convict: `python -m tests.culprit serve ...`.
 
-The environment variable CULPRIT names the rule whose guard is gone. Run only by test_audit.py.
+The environment variable CULPRIT numbers the guard that is gone; 1 to 5 are the rules'. Run by test_badday.py.
 """
 
 from __future__ import annotations
@@ -9,13 +9,14 @@
 
 from sedgepitch.cli.main import main
 from sedgepitch.core import engine
+from sedgepitch.fronts.mongo.client import ClientConnection
 from sedgepitch.interface import State
 from sedgepitch.policy import Router
 
 
 def lose_requests() -> None:
     """Rule 1: a refusal never leaves, and the last guard is gone."""
-    engine.OVERDUE = 3600.0
+    engine.Engine._last_guard = lambda self, account: None
     engine.Engine._refuse = lambda self, action: None
 
 
@@ -57,8 +58,47 @@
     Router.fresh_enough = lambda self, member, request: True
 
 
+def answer_late() -> None:
+    """Rule 1: answers wait in a queue of the driver's own, and nothing takes that from what is promised."""
+
+    def answered(self, request):
+        tell = true_answered(self, request)
+        return lambda answer: self.context.clock.call_later(2.2, tell, answer)
+
+    true_answered = ClientConnection._answered
+    ClientConnection._answered = answered
+
+
+def send_after_the_answer() -> None:
+    """Rule 1: what was decided before the answer is still sent long after it."""
+
+    def settle(self, account, answer):
+        if account.open and answer.member is not None and not account.command.payload.writes:
+            again = (answer.member, account.command.payload, lambda end: None, engine.NEVER)
+            self.clock.call_later(1.6, self.members.send, *again)
+        true_settle(self, account, answer)
+
+    true_settle = engine.Engine._settle
+    engine.Engine._settle = settle
+
+
+def forget_own_delay() -> None:
+    """Rule 5: ages are judged as of a turn that began long ago, as if no time had passed in the driver."""
+
+    def fresh_enough(self, member, request):
+        now, self.now = self.now, self.now - 0.8
+        try:
+            return true_fresh(self, member, request)
+        finally:
+            self.now = now
+
+    true_fresh = Router.fresh_enough
+    Router.fresh_enough = fresh_enough
+
+
 GUARDS = (lose_requests, resend_anything, ignore_drains, trust_the_cold, read_anywhere)
+MORE = (answer_late, send_after_the_answer, forget_own_delay)
 
 if __name__ == "__main__":
-    GUARDS[int(os.environ["CULPRIT"]) - 1]()
+    (GUARDS + MORE)[int(os.environ["CULPRIT"]) - 1]()
     main()
--- a/tests/test_badday.py
+++ b/tests/test_badday.py
@@ -1,4 +1,4 @@
-"""The bad day, short; and the audit's power to convict, one planted culprit a rule."""
+"""The bad day, short; and the audit's power to convict, planted culprits for each rule."""
 
 from __future__ import annotations
 
@@ -26,12 +26,24 @@
         },
     },
     5: {"troubles": [{"at": 0.05, "do": "lag", "member": n, "factor": 4000, "for": 60} for n in range(2, 7)]},
+    6: {"troubles": []},
+    7: {"troubles": []},
+    8: {
+        "troubles": [
+            {"at": at, "do": "lag", "member": n, "factor": 4000, "for": 60}
+            for n, at in ((2, 0.1), (3, 0.25), (4, 0.4), (5, 0.55), (6, 0.7))
+        ]
+    },
 }
+BREAKS = {6: 1, 7: 1, 8: 5}  # the rule that a later culprit breaks; the first five go by their rule
+STRICT = {8: 0.25}  # s of slack, where a read's own patience leaves no room for SLACK
 
 
-def play(tmp_path: Path, day: dict | None, length: float, **environment: str) -> tuple[int, dict]:
+def play(
+    tmp_path: Path, day: dict | None, length: float, slack: float = SLACK, **environment: str
+) -> tuple[int, dict]:
     """Play a day in a process of its own; returns its exit code and result."""
-    arguments = ["badday", "--length", str(length), "--slack", str(SLACK), "--keep", str(tmp_path / "day")]
+    arguments = ["badday", "--length", str(length), "--slack", str(slack), "--keep", str(tmp_path / "day")]
     if day is not None:
         script = tmp_path / "script.yaml"
         script.write_text(yaml.safe_dump(day))
@@ -62,7 +74,8 @@
         place = places[case]
         environment = {"CULPRIT": str(rule)} if culprit else {}
         day = DAYS[rule] if rule else None
-        return *play(place, day, 7.0 if rule else 14.0, **environment), place
+        slack = STRICT.get(rule, SLACK)
+        return *play(place, day, 7.0 if rule else 14.0, slack, **environment), place
 
     places = {case: tmp_path_factory.mktemp("day") for case in CASES}
     with ThreadPoolExecutor(3) as pool:
@@ -83,7 +96,7 @@
 def test_the_audit_convicts_a_driver_without_the_guard(played, rule):
     code, result, _ = played[rule, True]
     assert code == 1
-    assert result["rules"][rule - 1]["broken"] > 0
+    assert result["rules"][BREAKS.get(rule, rule) - 1]["broken"] > 0
 
 
 @pytest.mark.parametrize("rule", [2, 4, 5])
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,283 @@
+"""What raises at a boundary of the engine stops nothing; and the driver's own delay is counted."""
+
+from __future__ import annotations
+
+import pytest
+
+from sedgepitch import interface as api
+from sedgepitch.core.pool import Pool, PoolLimits
+from sedgepitch.core.types import AttemptEnd, Command, Verdict
+from sedgepitch.interface import Result
+from tests.front import Front
+
+BOUNDARIES = ("settle", "send", "probe", "observe", "log")
+
+
+class Broken(Exception):
+    pass
+
+
+def state(front: Front) -> dict:
+    """What must be the same whether a callback raised or not."""
+    router, ledger = front.engine.router, front.engine.ledger
+    return {
+        "accounts": len(ledger.accounts),
+        "owed": ledger.owed,
+        "settled": ledger.settled,
+        "module_requests": len(router.requests),
+        "out_at_members": sum(len(m.out) for m in router.members.values()),
+        "probing": [m.id for m in router.members.values() if m.probing],
+        "events": len(front.engine.events),
+    }
+
+
+def day(boundary: str | None, door: bool = False) -> tuple[dict, Front, dict[int, list]]:
+    """Twelve requests, every third of which meets the raising callback; members answer all they get."""
+    front = Front()
+    if door:
+        from sedgepitch.decide.door import Door, DoorSettings
+
+        front.engine.door = Door(DoorSettings(), 1, front.clock.now())
+    for member in (2, 3):
+        front.engine.feed(api.Probed(member, Result.OK, 0.001, api.Report(front.clock.now(), False)))
+    got: dict[int, list] = {}
+    number = [0]
+
+    def raises(where: str) -> bool:
+        number[0] += 1
+        return boundary == where and number[0] % 3 == 0
+
+    true_send = front.members.send
+
+    def send(member, payload, on_end, by):
+        if raises("send"):
+            raise Broken
+        return true_send(member, payload, on_end, by)
+
+    def observe(account, answer, elapsed):
+        if raises("observe"):
+            raise Broken
+
+    def probe(member, on_end):
+        if boundary == "probe":
+            raise Broken
+        on_end(AttemptEnd(Result.OK, report=api.Report(front.clock.now(), False)))
+
+    def log(text):
+        raise Broken
+
+    front.members.send, front.members.probe, front.engine.observe = send, probe, observe
+    if boundary == "log":
+        front.engine.log = log
+        front.engine.on_fault = lambda where, error: log(where)
+        front.engine.router.handle = _and_log(front.engine.router.handle)
+    for n in range(12):
+        got[n] = []
+
+        def answered(answer, n=n):
+            got[n].append(answer)
+            if boundary == "settle" and n % 3 == 0:
+                raise Broken
+
+        class_name = ("upload", "map-read", "history-read")[n % 3]
+        front.engine.submit(Command(class_name, 0, 0.5, f"payload {n}"), answered)
+    for _ in range(6):
+        front.turn()
+        for sent in front.members.sent:
+            if not sent.abandoned:
+                sent.abandoned = True
+                sent.answer()
+    front.turn(0.6)
+    front.turn(0.1)
+    return state(front), front, got
+
+
+def _and_log(handle):
+    return lambda now, events: [api.Log("a line"), *handle(now, events)]
+
+
+@pytest.mark.parametrize("door", [False, True])
+@pytest.mark.parametrize("boundary", BOUNDARIES)
+def test_what_raises_at_a_boundary_leaves_the_same_state_behind(boundary, door):
+    calm, _, _ = day(None, door)
+    after, front, got = day(boundary, door)
+    assert all(len(answers) == 1 for answers in got.values()), "each request has exactly one answer"
+    assert after == calm
+    assert calm["out_at_members"] == calm["accounts"] == calm["module_requests"] == 0
+    if boundary != "probe" or front.engine.faults:
+        assert front.engine.faults > 0
+    if door:
+        assert not front.engine.door.tickets
+        assert all(not room.inside for room in front.engine.door.rooms.values())
+
+
+def test_a_raising_answer_is_told_in_one_call():
+    told = []
+    front = Front()
+    front.engine.on_fault = lambda where, error: told.append((where, type(error)))
+
+    def answered(answer):
+        raise Broken
+
+    front.engine.submit(Command("upload", 0, 0.5, "payload"), answered)
+    front.turn()
+    front.members.sent[0].answer()
+    front.turn()
+    assert told == [("answer", Broken)]
+
+
+# The driver's own delay
+
+
+def ask(front: Front, class_name: str = "map-read", time_left: float = 0.5, arrived: float | None = None):
+    got: list = []
+    account = front.engine.submit(Command(class_name, 0, time_left, "payload"), got.append, arrived)
+    return account, got
+
+
+def make_late(front: Front, by: float) -> None:
+    """Two pauses, so that they count."""
+    for _ in range(2):
+        front.engine.pace.waited(by, front.clock.now())
+        front.task.advance(0.3)
+
+
+def test_time_counts_from_the_arrival_of_the_bytes():
+    front = Front()
+    account, got = ask(front, "upload", 0.5, front.clock.now() - 0.3)
+    assert account.deadline == pytest.approx(front.clock.now() + 0.2)
+    front.turn(0.21)
+    front.turn(0.03)
+    assert [a.verdict for a in got] == [Verdict.FAILED]
+    _, got = ask(front, "upload", 0.5, front.clock.now() - 0.6)
+    assert [a.verdict for a in got] == [Verdict.REFUSED], "its time was up before it was read"
+
+
+def test_answers_are_decided_earlier_by_the_drivers_own_delay():
+    front = Front()
+    make_late(front, 0.2)
+    account, got = ask(front, "upload", 0.5)
+    asked = front.clock.now()
+    assert account.until == pytest.approx(account.deadline - 0.2)
+    while not got:
+        front.turn(0.01)
+    assert front.clock.now() - asked < 0.4
+
+
+def test_what_the_driver_is_too_late_for_is_refused_on_arrival_with_a_time():
+    front = Front()
+    make_late(front, 0.3)
+    _, got = ask(front, "history-read", 0.25)
+    assert [a.verdict for a in got] == [Verdict.REFUSED]
+    assert got[0].come_back > 0
+    assert not front.members.sent
+    assert front.engine.too_slow == 1
+
+
+def test_a_delay_that_grows_later_brings_the_answer_forward():
+    front = Front()
+    _, got = ask(front, "history-read", 0.5)
+    front.turn()
+    assert len(front.members.sent) == 1
+    front.turn(0.1)
+    make_late(front, 0.4)  # with less than that left, the module still counting on the whole time
+    front.turn(0.011)
+    front.turn(0.011)
+    assert [a.verdict for a in got] == [Verdict.REFUSED], "a read may be tried again"
+    assert front.engine.hurried == 1
+    assert not front.engine.router.requests
+    front.members.sent[0].answer()
+    front.turn()
+    assert len(got) == 1
+
+
+def test_whose_time_is_up_is_answered_before_a_new_request_is_read():
+    front = Front()
+    _, got = ask(front, "upload", 0.1)
+    front.turn()
+    front.task.rightNow += 0.2  # the loop has not looked at its timers since
+    front.engine.before_reading()
+    front.turn()
+    assert [a.verdict for a in got] == [Verdict.FAILED]
+
+
+# Nothing is sent after the answer, and nothing long after its decision
+
+
+class Wires:
+    """Connections that open when the test says, and keep what was sent."""
+
+    def __init__(self) -> None:
+        self.opening: list = []
+        self.sent: list = []
+        self.queued = 0
+        self.closed = 0
+
+    def connector(self, ready, failed, lost):
+        self.opening.append(ready)
+        return lambda: None
+
+    def start(self, payload, done):
+        self.sent.append(payload)
+
+    def unsent(self):
+        return self.queued
+
+    def close(self):
+        self.closed += 1
+
+
+def pool_and_wires(front: Front) -> tuple[Pool, Wires]:
+    wires = Wires()
+    judge = lambda exchange, reply: AttemptEnd(Result.OK, reply)  # noqa: E731
+    return Pool(front.clock, wires.connector, judge, PoolLimits()), wires
+
+
+def test_an_exchange_that_waits_for_its_connection_is_taken_back_on_the_answer():
+    front = Front()
+    pool, wires = pool_and_wires(front)
+    front.members.send = lambda member, payload, on_end, by: pool.send(payload, on_end, by)
+    account, got = ask(front, "history-read", 0.5)
+    front.turn()
+    assert len(wires.opening) == 1 and not wires.sent
+    front.engine.gone(account)
+    front.turn()
+    wires.opening[0](wires)
+    front.turn()
+    assert not wires.sent
+    assert not front.engine.ledger.accounts
+    assert not any(m.out for m in front.engine.router.members.values())
+
+
+def test_bytes_that_wait_behind_a_full_socket_end_with_their_connection():
+    front = Front()
+    pool, wires = pool_and_wires(front)
+    exchange = pool.send("payload", lambda end: None)
+    wires.opening[0](wires)
+    wires.queued = 100
+    assert exchange.withdraw() is False
+    assert wires.closed == 1
+
+
+def test_a_decision_that_ages_is_given_back_when_its_connection_came_too_late():
+    front = Front()
+    pool, wires = pool_and_wires(front)
+    ends: list = []
+    pool.send("payload", ends.append, front.clock.now() + 0.05)
+    front.task.advance(0.2)
+    wires.opening[0](wires)
+    assert [e.result for e in ends] == [Result.NOT_SENT]
+    assert not wires.sent
+    pool.send("again", ends.append, front.clock.now() + 0.05)
+    assert wires.sent == ["again"], "the connection is there now, and serves the decision made anew"
+
+
+def test_bounds_are_told_shorter_by_the_time_that_a_decision_may_take_to_leave():
+    from sedgepitch.config.load import SettingsError, parse
+    from tests.front import EXAMPLE
+
+    told = {c.name: c for c in parse(EXAMPLE, "example").module_settings().classes}
+    assert told["map-read"].max_age == pytest.approx(0.45)
+    assert told["upload"].window == pytest.approx(1.15)
+    with pytest.raises(SettingsError, match="handover_within"):
+        parse(EXAMPLE + "\nlimits: {handover_within: 300 ms}\n", "example")
