--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -74,6 +74,8 @@
                 record.close()
             finally:
                 stage.stop()
+            lines = (Path(place) / "one.log").read_text(errors="replace").splitlines()
+            stopped = next((json.loads(x) for x in reversed(lines) if '"event": "stopped"' in x), {})
             records = read_records([Path(place) / "clients.jsonl", Path(place) / "members.jsonl"])
         classes = {
             "map-read": ClassFacts("bounded", 0.5, "safe", 0.0),
@@ -89,6 +91,8 @@
             "memory_mb": [median(memory[third : 2 * third]) / 1e6, median(memory[2 * third :]) / 1e6],
             "broken": sum(f.broken for f in findings),
             "checked": sum(f.checked for f in findings),
+            "told": [text for f in findings for text in f.told[:3]],
+            "driver": stopped,
         }
 
     def _watch(self, pid: int, memory: list[int]) -> None:
@@ -161,6 +165,10 @@
     calm = results["calm door"]
     for name, result in results.items():
         print(f"\n{name}: {result['checked']} cases checked, {result['broken']} broken")
+        for text in result["told"]:
+            print(f"  {text}")
+        late = {k: v for k, v in result["driver"].items() if k.endswith("_ms") or k == "too_slow"}
+        print("driver: " + ", ".join(f"{k} {v:g}" for k, v in late.items()))
         print(f"{'tenant':12}{'asked':>8}{'served':>8}{'in time':>9}{'refused':>9}{'failed':>8}{'p50 ms':>9}")
         for tenant, counts in result["counts"].items():
             p50 = result["p50_ms"][tenant]
--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -230,7 +230,8 @@
     for room in state["rooms"]:
         side = "primary only" if room["primary_only"] else "any member"
         click.echo(
-            f"  group {room['group']}, {side}: {room['inside']} inside, {room['waiting_inside']} waiting"
+            f"  group {room['group']}, {side}: {room['inside']} inside (limit {room['limit'] or 'none yet'}),"
+            f" {room['waiting_inside']} waiting"
             f" (allowance {room['allowance']}), {room['held']} held of {room['tenants_held']} tenants"
         )
         click.echo(
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -96,19 +96,23 @@
             self._enter(account)
             return account
         account.admitted = False
+        now = self.clock.now()
         arrival = Arrival(
             account.id,
             command.tenant,
             command.client,
             command.class_name,
             cls.worth,
-            account.until - self.clock.now(),
+            account.until - now,
             command.group,
             cls.freshness in (Freshness.WRITE, Freshness.FRESH),
             command.mark,
             command.key,
+            0.0
+            if cls.late_worth > 0 and cls.freshness is Freshness.WRITE
+            else cls.aim - (now - account.opened),
         )
-        self._decided(self.door.arrive(arrival, self.clock.now()))
+        self._decided(self.door.arrive(arrival, now))
         return account
 
     def _enter(self, account: Account) -> None:
--- a/sedgepitch/decide/door.py
+++ b/sedgepitch/decide/door.py
@@ -1,17 +1,19 @@
 """May a request come in now, wait, or is it told when to come back: decided before the module sees it.
 
-Which controller governs when. The module's per-member limits, which follow answers, say how many requests
-may be out at members; the door sets no limit of its own beside them. It bounds how many that it let in may
-still *wait* inside, for each group and side: an allowance of a few, which falls when one of them is refused
-in there and grows when they are placed at once. So while members have room the door is open; when they have
-none, what comes waits here, in fair order, and the module's own waiting list, which is walked on every
-answer, stays short. Requests that only a primary may serve have an allowance, a queue and a calendar of
-their own.
-
-A request is held no longer than a share of its time, and is refused at once where it could not be reached
-by then. Refused with a time: see `calendar.py`. Fair order: see `fairqueue.py`. Nothing here grows with the
-number of tenants or clients: what waits, debts, promises and remembered refusals are bounded, usage is a
-sketch.
+Which controller governs when. The module's per-member limits, which follow answers against the aim, say who
+gets how many. Beside them stand two bounds for each group and side, on sums alone. How many may be inside:
+`capacity.py`, from queueing; under a flood it is the lower one and governs, else it is not felt. And how many
+that were let in may still *wait* inside: an allowance of a few, which falls when one of them is refused in
+there and grows when they are placed at once; it governs where members are lost, cold or not fresh enough, so
+that the module has no room for what the sum allows. Either way what comes waits here, in fair order, and the
+module's own waiting list, which is walked on every answer, stays short. Requests that only a primary may
+serve have bounds, a queue and a calendar of their own.
+
+A request is held no longer than a share of its time, nor for so long that its answer would come past its
+aim, and is refused at once where it could not be reached by then: work that would be late is not done. Writes
+that are worth something late wait for their share of the whole time. Refused with a time: see `calendar.py`.
+Fair order: see `fairqueue.py`. Nothing here grows with the number of tenants or clients: what waits, debts,
+promises and remembered refusals are bounded, usage is a sketch.
 """
 
 from __future__ import annotations
@@ -20,6 +22,7 @@
 from dataclasses import dataclass, field
 
 from sedgepitch.decide.calendar import Calendar
+from sedgepitch.decide.capacity import NEVER, RoomLimit
 from sedgepitch.decide.fairqueue import FairQueue, Held
 from sedgepitch.structures.sketch import FadingSketch
 from sedgepitch.structures.wheel import Entry, Wheel
@@ -29,6 +32,8 @@
 FALL, GROW = 0.7, 0.02  # the allowance after one was refused inside; and more after one was placed at once
 AT_ONCE = 0.01  # s; placed sooner than this is at once
 LEARN = 0.05  # weight of one answer in a class's usual cost
+SURE = 3.0  # times its usual cost, what an answer takes at most, nearly always
+LEAST_HOLD = 0.1  # share of its aim that any request may be held
 SPAN = 0.5  # s over which the served rate is measured
 FIRST_COST = 0.02  # s; a class's cost before any answer
 RETRY_HALF_LIFE = 10.0  # s
@@ -70,6 +75,7 @@
     primary_only: bool
     mark: str
     key: str = ""
+    aim: float = 0.0  # s in which an answer is worth its while; 0 where any answer within its time is
 
 
 @dataclass(slots=True)
@@ -119,6 +125,7 @@
         self.waiting_inside = 0
         self.turn = self.unseen = 0  # of those waiting inside, let in since the module was last asked
         self.inside = 0
+        self.limit = RoomLimit(now)
         self.served = 0.0  # cost since the span began
         self.span_from = now
         self.rate = 0.0  # cost served a second, as far as it has been seen
@@ -126,6 +133,8 @@
 
     def may_enter(self) -> bool:
         """Whether one more may be let in."""
+        if self.inside >= self.limit.bound:
+            return False
         waits = self.waiting_inside - self.unseen
         calm = not waits and not self.pressed and self.allowance >= self.most
         return self.unseen < (self.at_a_turn if calm else self.allowance - waits)
@@ -138,6 +147,7 @@
 
     def measure(self, now: float) -> None:
         """Once a span: a room that was pressed shows its capacity, another one only that it has as much."""
+        self.limit.measure(now)
         passed = now - self.span_from
         if passed < SPAN:
             return
@@ -174,7 +184,7 @@
         cost = self.costs.get(arrival.class_name, FIRST_COST)
         weight = self.settings.weights.get(arrival.tenant, self.settings.default_weight)
         held = Held(arrival.id, arrival.tenant, arrival.client, arrival.worth, cost, weight)
-        until = now + arrival.time_left * self.settings.hold_share
+        until = now + self._patience(arrival, cost)
         ticket = self.tickets[arrival.id] = _Ticket(arrival, held, room, now, until)
         promised = room.calendar.comes(arrival.mark, now)
         again = bool(arrival.key) and self.refused.pop(arrival.key, True) is None
@@ -240,6 +250,7 @@
             room.queue.correct(arrival.tenant, cost - held.cost, held.weight)
             self.usage.gather(arrival.tenant, cost, now)
             if served:
+                room.limit.answered(arrival.class_name, arrival.aim, cost, ticket.sent_at)
                 usual = self.costs.get(arrival.class_name, FIRST_COST)
                 self.costs[arrival.class_name] = usual + LEARN * (cost - usual)
         if not served:
@@ -293,6 +304,7 @@
                 "inside": room.inside,
                 "waiting_inside": room.waiting_inside,
                 "allowance": round(room.allowance, 2),
+                "limit": round(room.limit.limit, 1) if room.limit.limit < NEVER else None,
                 "held": room.queue.waiting,
                 "tenants_held": len(room.queue.tenants),
                 "served_per_s": round(room.rate, 4),
@@ -313,6 +325,13 @@
             room = self.rooms[key] = _Room(self.settings, self.seed + 7 * len(self.rooms), now)
         return room
 
+    def _patience(self, arrival: Arrival, cost: float) -> float:
+        """How long it may be held so that its answer comes in time, by what its class usually costs."""
+        patience = arrival.time_left * self.settings.hold_share
+        if arrival.aim > 0.0:
+            patience = min(patience, max(arrival.aim - SURE * cost, LEAST_HOLD * arrival.aim))
+        return patience
+
     def _too_many_retries(self, tenant: str, now: float) -> bool:
         made = self.retries.add(tenant, 1.0, now)
         return made > FREE_RETRIES + self.settings.retry_share * self.first_tries.estimate(tenant, now)
@@ -357,6 +376,7 @@
         ticket.room.unseen += 1
         ticket.room.waiting_inside += 1
         ticket.room.inside += 1
+        ticket.room.limit.inside(ticket.room.inside, now)
         return Admit(ticket.arrival.id)
 
     def _let_in(self, room: _Room, now: float) -> list[Decision]:
--- a/sedgepitch/load/caller.py
+++ b/sedgepitch/load/caller.py
@@ -152,14 +152,14 @@
         if ask is None or done is None:
             return
         member = reply.get("$member") or {}
+        # A reply is dated by the arrival of its bytes; anything else by when this process saw it.
+        at = self.transport.arrived if verdict in ("served", "refused", "failed") else now()
         if ask.asked:
-            # A reply is dated by the arrival of its bytes; anything else by when this process saw it.
-            at = self.transport.arrived if verdict in ("served", "refused", "failed") else now()
             if verdict not in ("left", "lost"):
                 self.caller.record(
                     "got", t=at, rid=ask.rid, verdict=verdict, m=member.get("id"), i=member.get("applied")
                 )
-        done(Got(ask, verdict, now() - ask.asked if ask.asked else 0.0, reply))
+        done(Got(ask, verdict, at - ask.asked if ask.asked else 0.0, reply))
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """The driver hung up."""
