--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -27,6 +27,7 @@
 from sedgepitch.fronts.mongo.commands import Request
 from sedgepitch.fronts.mongo.member import MongoMembers
 from sedgepitch.net import transport
+from sedgepitch.observe import log
 from sedgepitch.observe.metrics import Metrics
 from sedgepitch.policy import Router
 
@@ -224,6 +225,7 @@
             "mean_wait_ms": round(pace.sum / max(1, pace.waits) * 1000.0, 3),
             "reserve_ms": round(pace.reserve(self.clock.now()) * 1000.0, 1),
             "too_slow": engine.too_slow,
+            "too_many": engine.too_many,
             "hurried": engine.hurried,
             "overdue": engine.overdue,
             "faults": engine.faults,
@@ -243,7 +245,9 @@
 
     def _answered(self, account: Account, answer: Answer, elapsed: float) -> None:
         self.metrics.answered(account, answer, elapsed)
-        if answer.verdict is not Verdict.SERVED:
+        if (
+            answer.verdict is not Verdict.SERVED and not log.full()
+        ):  # under a flood, lines cost more than answers
             self.log.info(
                 answer.verdict.value,
                 request=account.id,
--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -72,10 +72,7 @@
         raise click.ClickException(f"cannot listen on {error.interface}:{error.port}") from None
     except OSError as error:
         raise click.ClickException(f"cannot listen: {error.strerror}") from None
-    # What is here now stays: the collector need not look through it for each few hundred requests.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 20)
+    _calm_collector()
 
     def reload(number: int, frame: FrameType | None) -> None:
         try:
@@ -87,6 +84,13 @@
     _run(reactor, driver.stop)
 
 
+def _calm_collector() -> None:
+    """What is here now stays: the collector need not look through it for each few hundred requests."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
+
+
 def _run(reactor: Any, stop: Any) -> None:
     """Run until a signal, then stop in order."""
     stopping: list[int] = []
@@ -172,6 +176,7 @@
         fleet.close()
         reactor.callLater(0.05, done)
 
+    _calm_collector()
     fleet.stopped = lambda: os.kill(os.getpid(), signal.SIGTERM)
     _run(reactor, stop)
 
@@ -230,7 +235,7 @@
     for room in state["rooms"]:
         side = "primary only" if room["primary_only"] else "any member"
         click.echo(
-            f"  group {room['group']}, {side}: {room['inside']} inside (limit {room['limit'] or 'none yet'}),"
+            f"  group {room['group']}, {side}: {room['inside']} inside (limit {room['limit']}),"
             f" {room['waiting_inside']} waiting"
             f" (allowance {room['allowance']}), {room['held']} held of {room['tenants_held']} tenants"
         )
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -23,13 +23,15 @@
 from sedgepitch.core.ledger import Account, Ledger
 from sedgepitch.core.types import Answer, Answered, AttemptEnd, Clock, Command, Ended, Members, Verdict
 from sedgepitch.decide.door import Admit, Arrival, Decision, Door
-from sedgepitch.decide.pace import Pace
+from sedgepitch.decide.ownload import OwnLimit
+from sedgepitch.decide.pace import COME_BACK, Pace
 from sedgepitch.interface import Effect, Freshness, Result
 from sedgepitch.policy import Router
 
 TICK = 0.01  # s between looks at deadlines and at what the door holds, while an answer is owed
 LEAST_TIME = 0.02  # s beyond the driver's own delay below which a request is refused on arrival
 OVERDUE = 0.02  # s past its time after which an answer that no decision brought is given here
+TOLERABLE = 0.1  # share of the shortest aim that requests may wait for this driver itself, in the mean
 NEVER = float("inf")
 
 
@@ -54,6 +56,8 @@
         self.most_in_flight = most_in_flight
         self.door = door
         self.pace = Pace()
+        self.own = OwnLimit(TOLERABLE * min(c.aim for c in router.settings.classes))
+        self.too_many = 0  # requests refused for the driver's own load
         self.handover = handover  # s that a decision which ages may take to leave
         self.on_fault, self.faults = on_fault, 0
         self.deadlines: list[tuple[float, int]] = []  # a heap of (time, account); closed ones stay a while
@@ -138,7 +142,7 @@
     def _tick(self) -> None:
         """Measure how late this look comes, and look behind what the sockets bring."""
         now = self.clock.now()
-        self.pace.waited(now - self.tick_due, now)
+        self.waited(now - self.tick_due, now)
         self.tick_due = NEVER
         self.clock.soon(self._look)
 
@@ -152,6 +156,14 @@
             self.tick_due = self.clock.now() + TICK
             self.clock.call_later(TICK, self._tick)
 
+    def waited(self, seconds: float, now: float) -> None:
+        """Take one wait of this driver's own, of bytes or of a timer, that ended now."""
+        self.pace.waited(seconds, now)
+        door = self.door
+        self.own.waited(seconds, self.ledger.owed if door is None else door.inside, now)
+        if door is not None:
+            door.own_limit = self.own.limit
+
     def before_reading(self) -> None:
         """Answer those whose time is wholly up before a new request is read.
 
@@ -215,6 +227,10 @@
             self._settle(account, Answer(Verdict.REFUSED, why=why))
         elif account.deadline <= now:
             self._settle(account, Answer(Verdict.REFUSED, why="no time left"))
+        elif self.door is None and self.ledger.owed > self.own.limit:
+            self.too_many += 1
+            why = f"this driver carries {self.ledger.owed - 1} requests and can no more"
+            self._settle(account, Answer(Verdict.REFUSED, come_back=reserve + COME_BACK, why=why))
         elif account.until <= now + LEAST_TIME and reserve > 0.0:
             self.too_slow += 1
             clears = self.pace.clears_in(command.time_left, now)
@@ -353,6 +369,7 @@
         first = account.open and end.result is Result.OK
         self.ledger.ended(account, attempt)
         if first:
+            account.heard = end.arrived
             self._settle(account, Answer(Verdict.SERVED, end.reply, member))
         self._finished(account, attempt, member, sent, end)
 
@@ -436,7 +453,7 @@
             self._guarded("observe", self.observe, account, answer, elapsed)
         if self.door is not None:
             served = answer.verdict is Verdict.SERVED
-            self._decided(self.door.ended(account.id, self.clock.now(), served))
+            self._decided(self.door.ended(account.id, self.clock.now(), served, account.heard))
 
     def _cancel(self, action: api.Cancel) -> None:
         account = self.ledger.accounts.get(action.request)
--- a/sedgepitch/core/ledger.py
+++ b/sedgepitch/core/ledger.py
@@ -20,6 +20,7 @@
         "command",
         "deadline",
         "ending",
+        "heard",
         "id",
         "last",
         "members",
@@ -39,6 +40,7 @@
         self.deadline = arrived + command.time_left
         self.until = self.deadline  # what the module is told, earlier by the driver's own delay
         self.ending = False  # its time was up, and the module has been told
+        self.heard = 0.0  # when its answer's bytes came, where that is known
         self.pinned = False  # the module knows nothing of it
         self.attempts = 0
         self.admitted = True  # the door has let it in
--- a/sedgepitch/decide/capacity.py
+++ b/sedgepitch/decide/capacity.py
@@ -18,6 +18,9 @@
   the one before. So a driver that starts in a flood finds its base in a few dips, members that slow down to a
   half are not taken for crowded, and nothing drifts. Between dips a quicker span lowers the base. Dips that
   change nothing become rare.
+
+It starts low and doubles each span while answers stay quick (slow start), so a driver that wakes in a flood
+sees its members without a queue first. Where members are quick the start is over in a second or two.
 """
 
 from __future__ import annotations
@@ -29,14 +32,13 @@
 GAIN = 2.0  # the median answer's time, as a multiple of that without a queue
 LOW = 0.05  # share of a class's aim that stands in for a base below it
 LEAST = 2.0  # requests that may be inside, whatever happens
-MOST_CUT = 0.4  # the limit after one span, at least, as a share of what was inside
+CUT_FIRST, CUT = 0.4, 0.75  # the limit after a span, at least, of what was inside: at the first queue, later
 GROW, GROW_LEAST = 1.1, 0.5  # growth of a limit that is in use, a span
-UNLIMITED = 16  # inside at once, where there is no limit yet, that may be a queue
+START = 16.0  # inside at first
 DIP = 0.3  # share of the limit that may be inside while the base is measured
-DIP_MOST = 4  # spans that a dip may last
-SOON, SELDOM = 4, 120  # spans between dips: at first, and at most
-SAME = 0.2  # change of the base that counts as none
-NEVER = float("inf")
+DIP_MOST = 8  # half spans that a dip may last
+SOON, SELDOM = 8, 120  # spans between dips: at first, and at most
+SAME = 0.5  # change of the base that counts as none
 
 
 class RoomLimit:
@@ -53,17 +55,19 @@
         "bound",
         "limit",
         "most_inside",
+        "starting",
     )
 
     def __init__(self, now: float) -> None:
-        self.limit = NEVER  # until a queue has been seen
-        self.bound = NEVER  # the limit, or less while it dips
+        self.limit = START
+        self.bound = START  # the limit, or less while it dips
+        self.starting = True  # no queue has been seen yet
         self.most_inside = 0  # in this span
         self._samples: dict[str, tuple[float, list[float]]] = {}  # class -> aim, times of answers
         self._base: dict[str, float] = {}
         self._from = now
         self._dip_from = -1.0  # since when the dip is felt; below 0 when there is none, or not yet
-        self._spans = 0  # that the dip has lasted
+        self._spans = 0  # half spans that the dip has lasted
         self._since_dip, self._pause = 0, SOON  # spans
 
     @property
@@ -89,11 +93,13 @@
 
     def measure(self, now: float) -> None:
         """Once a span: compare, and move the limit."""
-        if now - self._from < SPAN:
+        if now - self._from < (SPAN / 2 if self.dipping else SPAN):
             return
+        waited = now - self._from >= 4 * SPAN
+        least = 1 if waited else LEAST_SAMPLE  # slow answers are few, and must not keep the limit where it is
         middles: dict[str, tuple[float, float, int]] = {}
         for name, (aim, times) in self._samples.items():
-            if len(times) >= LEAST_SAMPLE:
+            if len(times) >= least:
                 middles[name] = (aim, median(times), len(times))
         if self.dipping:
             self._spans += 1
@@ -103,7 +109,7 @@
             self._rebase(middles)
         elif middles:
             self._move(middles)
-        elif now - self._from < 4 * SPAN:
+        elif not waited:
             return  # too few answers so far
         self._samples.clear()
         self.most_inside, self._from = 0, now
@@ -128,14 +134,14 @@
         ratio /= total
         if ratio > GAIN:
             in_use = min(self.limit, float(max(1, self.most_inside)))
-            self.limit = max(LEAST, in_use * max(MOST_CUT, GAIN / ratio))
-        elif self.limit < NEVER and self.most_inside >= self.limit - 1.0:
-            self.limit = max(self.limit * GROW, self.limit + GROW_LEAST)
+            self.limit = max(LEAST, in_use * max(CUT_FIRST if self.starting else CUT, GAIN / ratio))
+            self.starting = False
+        elif self.most_inside >= self.limit - 1.0:
+            self.limit = max(self.limit * (2.0 if self.starting else GROW), self.limit + GROW_LEAST)
         self.bound = self.limit
-        # A base is in doubt where answers take long and the limit is full: they may all have queued. With no
-        # limit yet, many inside and slow is the same, as when a driver starts in a flood.
+        # A base is in doubt where answers take long and the limit is full: they may all have queued.
         slow = any(middle > LOW * aim for aim, middle, _ in middles.values())
-        full = self.most_inside >= (UNLIMITED if self.limit == NEVER else max(2.0 * LEAST, self.limit - 1.0))
+        full = self.most_inside >= max(2.0 * LEAST, self.limit - 1.0)
         if not (slow and full):
             return
         self._since_dip += 1
--- a/sedgepitch/decide/door.py
+++ b/sedgepitch/decide/door.py
@@ -1,13 +1,14 @@
 """May a request come in now, wait, or is it told when to come back: decided before the module sees it.
 
 Which controller governs when. The module's per-member limits, which follow answers against the aim, say who
-gets how many. Beside them stand two bounds for each group and side, on sums alone. How many may be inside:
+gets how many. Beside them stand bounds on sums alone, two for each group and side. How many may be inside:
 `capacity.py`, from queueing; under a flood it is the lower one and governs, else it is not felt. And how many
 that were let in may still *wait* inside: an allowance of a few, which falls when one of them is refused in
 there and grows when they are placed at once; it governs where members are lost, cold or not fresh enough, so
-that the module has no room for what the sum allows. Either way what comes waits here, in fair order, and the
-module's own waiting list, which is walked on every answer, stays short. Requests that only a primary may
-serve have bounds, a queue and a calendar of their own.
+that the module has no room for what the sum allows. A third bound is on all rooms together and is the
+driver's own (`ownload.py`): it governs where this process is what is short. Whichever governs, what comes
+waits here, in fair order, and the module's own waiting list, which is walked on every answer, stays short.
+Requests that only a primary may serve have bounds, a queue and a calendar of their own.
 
 A request is held no longer than a share of its time, nor for so long that its answer would come past its
 aim, and is refused at once where it could not be reached by then: work that would be late is not done. Writes
@@ -22,7 +23,7 @@
 from dataclasses import dataclass, field
 
 from sedgepitch.decide.calendar import Calendar
-from sedgepitch.decide.capacity import NEVER, RoomLimit
+from sedgepitch.decide.capacity import RoomLimit
 from sedgepitch.decide.fairqueue import FairQueue, Held
 from sedgepitch.structures.sketch import FadingSketch
 from sedgepitch.structures.wheel import Entry, Wheel
@@ -32,7 +33,7 @@
 FALL, GROW = 0.7, 0.02  # the allowance after one was refused inside; and more after one was placed at once
 AT_ONCE = 0.01  # s; placed sooner than this is at once
 LEARN = 0.05  # weight of one answer in a class's usual cost
-SURE = 3.0  # times its usual cost, what an answer takes at most, nearly always
+SURE = 2.0  # times its usual cost, what an answer takes at most, nearly always
 LEAST_HOLD = 0.1  # share of its aim that any request may be held
 SPAN = 0.5  # s over which the served rate is measured
 FIRST_COST = 0.02  # s; a class's cost before any answer
@@ -170,6 +171,8 @@
         self.wheel: Wheel[int] = Wheel(TICK, now)
         self.costs: dict[str, float] = {}
         self.held = 0
+        self.inside = 0  # in all rooms
+        self.own_limit = float("inf")  # that may be inside for the driver's own sake
         self.refused: OrderedDict[str, None] = OrderedDict()  # keys of requests lately refused
         self.usage = FadingSketch(WIDTH, 16, 30.0, seed, now)
         self.first_tries = FadingSketch(WIDTH, 1, RETRY_HALF_LIFE, seed + 1, now)
@@ -192,7 +195,7 @@
             self.first_tries.gather(arrival.tenant, 1.0, now)
         elif not promised and self._too_many_retries(arrival.tenant, now):
             return [self._turn_away(ticket, now, "too many retries")]
-        may_enter = room.may_enter()
+        may_enter = self.inside < self.own_limit and room.may_enter()
         if may_enter and ((promised and not room.promised) or not room.queue.waiting):
             room.queue.served_at_once(arrival.tenant, cost, weight)
             return [self._admit(ticket, now)]
@@ -227,8 +230,12 @@
             room.allowance = min(room.most, room.allowance + GROW)
         return self._let_in(room, now)
 
-    def ended(self, number: int, now: float, served: bool) -> list[Decision]:
-        """A request has its final answer, or its client has left."""
+    def ended(self, number: int, now: float, served: bool, heard: float = 0.0) -> list[Decision]:
+        """A request has its final answer, or its client has left.
+
+        `heard` is when the answer's bytes came, 0 where that is not known: what passed since then was the
+        driver's own delay and tells nothing of members.
+        """
         ticket = self.tickets.pop(number, None)
         if ticket is None:
             return []
@@ -240,12 +247,13 @@
                 self._drop(room, held)
             return []
         room.inside -= 1
+        self.inside -= 1
         if ticket.sent_at < 0:
             room.left_waiting(ticket.turn)
             if not served:  # it waited inside for nothing: fewer may wait there
                 room.allowance = max(LEAST_ALLOWANCE, room.allowance * FALL)
         else:
-            cost = now - ticket.sent_at
+            cost = max(0.0, (heard or now) - ticket.sent_at)
             room.served += cost
             room.queue.correct(arrival.tenant, cost - held.cost, held.weight)
             self.usage.gather(arrival.tenant, cost, now)
@@ -304,7 +312,7 @@
                 "inside": room.inside,
                 "waiting_inside": room.waiting_inside,
                 "allowance": round(room.allowance, 2),
-                "limit": round(room.limit.limit, 1) if room.limit.limit < NEVER else None,
+                "limit": round(room.limit.bound, 1),
                 "held": room.queue.waiting,
                 "tenants_held": len(room.queue.tenants),
                 "served_per_s": round(room.rate, 4),
@@ -376,12 +384,13 @@
         ticket.room.unseen += 1
         ticket.room.waiting_inside += 1
         ticket.room.inside += 1
+        self.inside += 1
         ticket.room.limit.inside(ticket.room.inside, now)
         return Admit(ticket.arrival.id)
 
     def _let_in(self, room: _Room, now: float) -> list[Decision]:
         out: list[Decision] = []
-        while room.may_enter():
+        while self.inside < self.own_limit and room.may_enter():
             held = self._next(room)
             if held is None:
                 break
--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -61,7 +61,7 @@
         """Note how long bytes had waited that are now read; 0 where that is not known."""
         if arrived:
             now = self.clock.now()
-            self.engine.pace.waited(now - arrived, now)
+            self.engine.waited(now - arrived, now)
 
 
 def hello_reply(context: Context, number: int, compressors: list[str]) -> dict[str, Any]:
--- a/sedgepitch/load/badday.py
+++ b/sedgepitch/load/badday.py
@@ -7,9 +7,7 @@
 from __future__ import annotations
 
 import json
-import os
 import random
-import subprocess
 import sys
 import tempfile
 from dataclasses import dataclass, field
@@ -25,7 +23,7 @@
 from sedgepitch.audit.records import read as read_records
 from sedgepitch.audit.rules import ClassFacts, Figures, Roles, audit
 from sedgepitch.load.caller import Ask, Caller, Got, now
-from sedgepitch.load.processes import ProcessError, Stage
+from sedgepitch.load.processes import Burners, ProcessError, Stage
 from sedgepitch.standins.recorder import Recorder
 
 DRIVERS = 3
@@ -140,7 +138,7 @@
         self.under_way = 0
         self.drawing = True
         self.errors: list[str] = []
-        self.burning: list[subprocess.Popen[bytes]] = []
+        self.burning = Burners(length + 30.0)
 
     def _script(self, path: str | None) -> list[dict[str, Any]]:
         try:
@@ -175,9 +173,7 @@
                 raise DayError(str(error)) from None
             finally:
                 stage.stop()
-                for burner in self.burning:
-                    burner.kill()
-                    burner.wait()
+                self.burning.stop()
 
     def _play(self, stage: Stage, directory: Path, progress: bool) -> dict[str, Any]:
         from twisted.internet import reactor
@@ -189,10 +185,10 @@
         for number in range(1, DRIVERS + 1):
             name = f"driver-{number}"
             zone = "north" if number % 2 else "south"
-            self._slow_down(number)
             address = stage.driver(name, driver={"zone": zone, "seed": self.seed * 100 + number})
             self.callers[name] = Caller(reactor, name, address, record)
-            self._pin(name, number)
+            if self.burners:
+                self.burning.beside(stage.drivers[name].process.pid, number, self.burners)
             self.sessions[name] = [
                 Session(bson.Binary(self.random.randbytes(16), 4)) for _ in range(SESSIONS)
             ]
@@ -350,25 +346,8 @@
 
     def _start(self, name: str) -> None:
         self.stage.driver(name)
-        self._pin(name, int(name.rpartition("-")[2]))
-
-    # A slow machine: each driver on a core that it shares with so many processes that only compute
-
-    def _core(self, number: int) -> int:
-        cores = sorted(os.sched_getaffinity(0))
-        return cores[-number % len(cores)]
-
-    def _slow_down(self, number: int) -> None:
-        lasts = self.length + 30.0  # bounded, whatever becomes of this process
-        text = f"import time\nend = time.monotonic() + {lasts}\nwhile time.monotonic() < end: pass"
-        for _ in range(self.burners):
-            burner = subprocess.Popen([sys.executable, "-c", text])
-            os.sched_setaffinity(burner.pid, {self._core(number)})
-            self.burning.append(burner)
-
-    def _pin(self, name: str, number: int) -> None:
-        if self.burners:
-            os.sched_setaffinity(self.stage.drivers[name].process.pid, {self._core(number)})
+        if self.burners:  # those of its first life still run
+            self.burning.beside(self.stage.drivers[name].process.pid, int(name.rpartition("-")[2]), 0)
 
     def _fault(self, do: str, fields: dict[str, Any]) -> None:
         self.stage.fault(do, **fields)
--- a/sedgepitch/load/processes.py
+++ b/sedgepitch/load/processes.py
@@ -5,6 +5,7 @@
 import contextlib
 import copy
 import json
+import os
 import queue
 import socket
 import subprocess
@@ -80,6 +81,32 @@
         return self.process.returncode
 
 
+class Burners:
+    """A slow machine: processes that only compute, on the core that a process is pinned to. End by themselves."""
+
+    def __init__(self, lasts: float) -> None:
+        self.lasts = lasts
+        self.running: list[subprocess.Popen[bytes]] = []
+
+    def beside(self, pid: int, number: int, count: int) -> None:
+        """Pin a process to the core of that number, counted from the last, and start so many beside it."""
+        cores = sorted(os.sched_getaffinity(0))
+        core = {cores[-number % len(cores)]}
+        os.sched_setaffinity(pid, core)
+        text = f"import time\nend = time.monotonic() + {self.lasts}\nwhile time.monotonic() < end: pass"
+        for _ in range(count):
+            burner = subprocess.Popen([sys.executable, "-c", text])
+            os.sched_setaffinity(burner.pid, core)
+            self.running.append(burner)
+
+    def stop(self) -> None:
+        """End them all."""
+        for burner in self.running:
+            burner.kill()
+            burner.wait()
+        self.running = []
+
+
 class Control:
     """A client of the fleet's control socket."""
 
--- a/sedgepitch/observe/log.py
+++ b/sedgepitch/observe/log.py
@@ -28,9 +28,25 @@
             raise structlog.DropEvent
         return event
 
+    def full(self) -> bool:
+        """Whether a line now would be left out; it is counted as such. Asked before a line is made."""
+        if int(time.monotonic()) != self.second or self.lines < self.most:
+            return False
+        self.left_out += 1
+        return True
+
+
+_bound = _Bound(1_000_000)
+
+
+def full() -> bool:
+    """Whether this second has no room for another line that is no error; counts it as left out."""
+    return _bound.full()
+
 
 def set_up(level: str, form: str, lines_per_second: int) -> None:
     """Send logs to standard error."""
+    _bound.most = lines_per_second
     renderer: Any = (
         structlog.processors.JSONRenderer()
         if form == "json"
@@ -38,7 +54,7 @@
     )
     structlog.configure(
         processors=[
-            _Bound(lines_per_second),
+            _bound,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True),
             structlog.processors.format_exc_info,
