A driver that cannot read all refuses unread and accepts nothing meanwhile

Change: while spans in a row are late, what has itself waited too long is refused from its header alone, first of the tenant that asks most, and connections wait in the system's backlog.

--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -1,7 +1,8 @@
 """A flood of one tenant on loopback: shares, uploads in time and promises, with the door and without.
 
-`python -m benchmarks.flood [--seconds S] [--seed N] [--councils R] [--burners N]`. One driver, six stand-in members of one core; `public`
-asks for far more than there is, two councils for their share, `stations` upload. Same seed, same requests.
+`python -m benchmarks.flood [--seconds S] [--seed N] [--councils R] [--burners N]`. One driver, six stand-in
+members of one core; `public` asks for far more than there is, two councils for about their share, `stations`
+upload. Same seed, same requests. With burners the driver shares its core with that many.
 """
 
 from __future__ import annotations
@@ -210,7 +211,7 @@
             served = [result["counts"][t].get("served", 0) for t in READERS]
             fair = sum(served) / len(READERS)  # each asks for no less than it is owed, or gets all it asks
             owed = [min(fair, sum(result["counts"][t].values())) for t in READERS]
-            shares = [min(1.0, s / o) for s, o in zip(served, owed, strict=True)]
+            shares = [min(1.0, s / max(o, 1.0)) for s, o in zip(served, owed, strict=True)]
             in_time = sum(result["in_time"].values()) / max(
                 1, sum(c.get("served", 0) for c in result["counts"].values())
             )
--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -153,6 +153,7 @@
             listener.close()
         else:
             opened = transport.listen(self.reactor, port, factory, host, 1024)
+        opened.may_accept = lambda: not self.engine.own.late
         self.ports.append(opened)
         address = opened.getHost()
         if self.settings.metrics is not None:
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -164,6 +164,14 @@
         if door is not None:
             door.own_limit = self.own.limit
 
+    def unread(self, waited: float, tenant: str) -> bool:
+        """Whether a request that waited so long is refused without being read (decide/ownload.py)."""
+        busiest = self.door is None or tenant == self.door.busiest
+        if not self.own.swamped(waited, busiest):
+            return False
+        self.too_many += 1
+        return True
+
     def before_reading(self) -> None:
         """Answer those whose time is wholly up before a new request is read.
 
--- a/sedgepitch/decide/door.py
+++ b/sedgepitch/decide/door.py
@@ -172,6 +172,7 @@
         self.costs: dict[str, float] = {}
         self.held = 0
         self.inside = 0  # in all rooms
+        self.busiest = ""  # the tenant that has asked most lately
         self.own_limit = float("inf")  # that may be inside for the driver's own sake
         self.refused: OrderedDict[str, None] = OrderedDict()  # keys of requests lately refused
         self.usage = FadingSketch(WIDTH, 16, 30.0, seed, now)
@@ -285,6 +286,7 @@
     def tick(self, now: float) -> list[Decision]:
         """End what has been held for as long as it may be."""
         out: list[Decision] = []
+        self.busiest = next((name for name, _ in self.first_tries.largest(now)), "")
         for number in self.wheel.advance(now):
             ticket = self.tickets[number]
             ticket.entry = None
--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -128,6 +128,8 @@
         self.waiting: Any = None  # the timer of an awaited hello
         self.busy = self.clogged = self.reading_stopped = False
         self.app_name = self.address = ""
+        self.tenant = ""  # of its last request
+        self.greeted = False  # something else than a hello has been read
         self.compressors: list[str] = []
 
     # Flow
@@ -186,7 +188,14 @@
     def frame_received(self, frame: bytes) -> None:
         """One message: parse, then serve; what is broken ends this connection and no other."""
         self.busy = self.paused = True
-        self.context.engine.before_reading()
+        engine = self.context.engine
+        engine.before_reading()
+        if self.since and self.greeted:
+            waited = self.context.clock.now() - self.since
+            if engine.unread(waited, self.tenant) and (message := codec.head(frame)) is not None:
+                body = errors.refused("this driver has more than it can read", waited, True, False)
+                self._reply(message, body)
+                return
         try:
             message = codec.parse(frame)
         except WireError as error:
@@ -228,6 +237,8 @@
         if request.after is not None and not request.facts.writes:
             age = max(1e-6, now - context.members.positions[group].session_need(request.after, now))
         placement = context.classifier.place(cls, request.facts, time_left, age)
+        who = self._who(request)
+        self.tenant, self.greeted = who[0], True
         command = Command(
             placement.class_name,
             group,
@@ -236,7 +247,7 @@
             request.session,
             placement.session_age,
             self.number,
-            *self._who(request),
+            *who,
         )
         self._await(request, context.engine.submit(command, self._answered(request), self.since or None))
 
--- a/sedgepitch/fronts/mongo/codec.py
+++ b/sedgepitch/fronts/mongo/codec.py
@@ -126,6 +126,15 @@
     raise WireError(f"opcode {opcode} is not supported")
 
 
+def head(frame: bytes) -> Message | None:
+    """Read what a reply needs and no more; None where that is not plain to see, as in a compressed one."""
+    _, request_id, response_to, opcode = HEADER.unpack_from(frame)
+    if opcode != OP_MSG or len(frame) < 21:
+        return None
+    flags = int.from_bytes(frame[16:20], "little")
+    return None if flags & 0xFFFF & ~KNOWN_REQUIRED else Message(request_id, response_to, flags, b"")
+
+
 def _decompress(frame: bytes, request_id: int, response_to: int) -> tuple[int, bytes, int]:
     opcode, size, compressor = struct.unpack_from("<iiB", frame, 16)
     if opcode == OP_COMPRESSED:
--- a/sedgepitch/load/processes.py
+++ b/sedgepitch/load/processes.py
@@ -82,7 +82,7 @@
 
 
 class Burners:
-    """A slow machine: processes that only compute, on the core that a process is pinned to. End by themselves."""
+    """A slow machine: processes that only compute, on the core that another is pinned to. They end alone."""
 
     def __init__(self, lasts: float) -> None:
         self.lasts = lasts
--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -23,6 +23,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import main, tcp
@@ -31,6 +32,8 @@
 _STAMP = struct.Struct("@qq")
 _SPACE = socket.CMSG_SPACE(_STAMP.size) if hasattr(socket, "CMSG_SPACE") else 0
 
+LOOK_AGAIN = 0.05  # s between looks at connections that are not accepted
+
 now = time.monotonic
 
 
@@ -117,9 +120,26 @@
 
 
 class StampedPort(tcp.Port):
-    """A listening port of such connections."""
+    """A listening port of such connections. `may_accept` is asked before connections are accepted.
+
+    Those that are not accepted wait in the system's backlog, before their first request and so before any
+    promise: the cheapest place for a process that cannot read what it already has.
+    """
 
     transport = StampedServer  # type: ignore[assignment]
+    may_accept: Callable[[], bool] | None = None
+
+    def doRead(self) -> None:
+        """Accept what waits, or look again a little later."""
+        if self.may_accept is None or self.may_accept():
+            super().doRead()
+            return
+        self.stopReading()
+        self.reactor.callLater(LOOK_AGAIN, self._look_again)
+
+    def _look_again(self) -> None:
+        if self.connected and not self.disconnecting:
+            self.startReading()
 
 
 class _Connector(tcp.Connector):
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -9,6 +9,8 @@
 import pytest
 
 from sedgepitch.decide.capacity import LEAST, RoomLimit
+from sedgepitch.decide.ownload import LEAST as OWN_LEAST
+from sedgepitch.decide.ownload import START, OwnLimit
 
 
 def play(servers: int, offered, service, seconds: float, seed: int = 1, names=("read",)) -> dict:
@@ -115,3 +117,76 @@
         limit.answered("read", 0.2, rng.choice((0.0002, 0.004)), now)
         limit.measure(now)
     assert limit.bound > 32
+
+
+# The driver's own load
+
+
+def waits(limit: OwnLimit, seconds: float, wait: float, inside: int, now: float) -> float:
+    """Many equal waits for so long; returns the time afterwards."""
+    for _ in range(int(seconds / 0.01)):
+        now += 0.01
+        limit.waited(wait, inside, now)
+    return now
+
+
+def test_a_driver_that_is_late_carries_less_and_grows_back_when_it_is_not():
+    limit = OwnLimit(0.02)
+    now = waits(limit, 2.0, 0.0005, 64, 0.0)
+    high = limit.limit
+    assert high > START, "used and quick, it may carry more"
+    now = waits(limit, 3.0, 0.2, 64, now)
+    assert limit.limit < START / 2
+    assert limit.limit >= OWN_LEAST
+    now = waits(limit, 5.0, 0.0005, int(limit.limit), now)
+    assert limit.limit > OWN_LEAST
+
+
+def test_one_pause_is_one_cut():
+    limit = OwnLimit(0.02)
+    now = waits(limit, 1.0, 0.0005, 10, 0.0)
+    before = limit.limit
+    limit.waited(0.4, 10, now + 0.2)
+    assert limit.cuts == 1
+    assert limit.limit < before
+    waits(limit, 2.0, 0.0005, 10, now + 0.2)
+    assert limit.cuts == 1
+    assert limit.limit > 10, "and it is grown back"
+    assert not limit.swamped(1.0, True)
+
+
+def test_requests_are_refused_unread_only_in_spans_of_long_waits_and_only_if_they_waited():
+    limit = OwnLimit(0.02)
+    now = waits(limit, 1.0, 0.03, 10, 0.0)
+    assert not limit.swamped(0.5, True), "late, but not swamped"
+    now = waits(limit, 0.5, 0.2, 10, now)
+    assert limit.swamped(0.05, True)
+    assert not limit.swamped(0.05, False), "of a tenant that does not ask most"
+    assert limit.swamped(0.5, False)
+    assert not limit.swamped(0.01, True), "this one came just now"
+    waits(limit, 0.5, 0.001, 10, now)
+    assert not limit.swamped(0.5, True)
+
+
+def test_unread_requests_of_the_busiest_tenant_are_refused_first():
+    from sedgepitch.decide.door import Door, DoorSettings
+    from tests.front import Front, command, replies
+
+    front = Front()
+    door = front.engine.door = Door(DoorSettings(), 1, front.clock.now())
+    front.context.tenant_of = ("app_name", "address")
+    connection, transport = front.client()
+    connection.app_name = "public"
+    connection.dataReceived(command(1, find="readings", comment="history-read", maxTimeMS=300))
+    front.turn(0.4)
+    waits(front.engine.own, 0.5, 0.3, 10, front.clock.now())
+    for number, busiest, unread in ((2, "council", 0), (3, "public", 1)):
+        door.busiest = busiest
+        transport.arrived = front.clock.now() - 0.05
+        connection.dataReceived(command(number, find="readings", comment="history-read", maxTimeMS=300))
+        assert front.engine.too_many == unread
+        door.busiest = busiest
+        front.turn(0.4)
+        response_to, last = replies(transport)[-1]
+        assert response_to == number
+        assert "NoWritesPerformed" in last["errorLabels"]
