--- a/sedgepitch/observe/metrics.py
+++ b/sedgepitch/observe/metrics.py
@@ -31,6 +31,8 @@
             ),
             "sedgepitch_latest_seconds": ("The longest that bytes or timers waited.", self.engine.pace.peak),
             "sedgepitch_too_slow": ("Requests refused for the driver's own delay.", self.engine.too_slow),
+            "sedgepitch_too_many": ("Requests refused for the driver's own load.", self.engine.too_many),
+            "sedgepitch_own_limit": ("How many may be inside for its sake.", self.engine.own.limit),
             "sedgepitch_hurried": ("Answers given early since the driver became late.", self.engine.hurried),
         }
         return [GaugeMetricFamily(name, text, value=value) for name, (text, value) in figures.items()]
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -4,6 +4,7 @@
 
 import subprocess
 import sys
+from pathlib import Path
 
 import pytest
 
@@ -71,3 +72,15 @@
         c.name for c in told.classes
     }
     assert told.subscribe and told.rules.drain_grace == 0.5
+
+
+def test_every_package_that_the_extra_asks_for_is_pinned():
+    root = Path(__file__).parent.parent / "requirements"
+    asked = {x.lower().replace("_", "-") for x in _names(root / "run.in")}
+    pinned = {x.lower().replace("_", "-") for x in _names(root / "run.txt")}
+    assert asked <= pinned
+
+
+def _names(path: Path) -> list[str]:
+    lines = (line.partition("#")[0].strip() for line in path.read_text().splitlines())
+    return [line.partition("==")[0] for line in lines if line]
