--- a/sedgepitch/decide/pace.py
+++ b/sedgepitch/decide/pace.py
@@ -5,9 +5,10 @@
 a timer's due time to its call. An answer that is decided at a deadline leaves that much after it.
 
 The reserve is the delay that must be expected of the next decision: the waits of the last few seconds are
-kept as the longest of each of SPANS short spans, and the reserve is the longest but one. One pause alone,
-of a collector or a machine that stood still, is no forecast and would make the driver turn away work that it
-can do; the second within the window is believed at once, and forgotten when the window has passed over it.
+kept as the longest of each of SPANS short spans, and the reserve is the longest but one, or half of the
+longest. One pause alone, of a collector or a machine that stood still, is half a forecast: to believe all of
+it would make the driver turn away work that it can do, to believe none let it be surprised where delays grow.
+The second within the window is believed at once, and forgotten when the window has passed over it.
 A quantile over all waits would not do: under load most reads are prompt, and those that matter are not.
 
 What the reserve is for: answers are decided earlier by it; a request with less time than it is refused on
@@ -19,6 +20,7 @@
 
 SPANS = 16  # kept
 SPAN = 0.25  # s
+HALF = 0.5  # share of the longest wait that counts though it was the only one
 FLOOR = 0.002  # s; waits below this are a loop's ordinary turns
 COME_BACK = 0.1  # s; the least advice to one refused for the driver's own delay
 
@@ -58,11 +60,14 @@
     def clears_in(self, below: float, now: float) -> float:
         """In how many seconds the reserve will be below so many, if no more waits are seen."""
         self._pass(now)
-        last = -1  # the latest but one of the spans that are in the way
-        over = [age for age in range(SPANS) if self._longest[(self._number - age) % SPANS] >= below]
-        if len(over) >= 2:
-            last = over[1]
-        left = 0.0 if last < 0 else (SPANS - last) * SPAN - now % SPAN
+        left = 0.0
+        kept = [(age, self._longest[(self._number - age) % SPANS]) for age in range(SPANS)]
+        over = [age for age, longest in kept if longest >= below]
+        if len(over) >= 2:  # until only one of them is left
+            left = (SPANS - over[1]) * SPAN - now % SPAN
+        for age, longest in kept:
+            if HALF * longest >= below:
+                left = max(left, (SPANS - age) * SPAN - now % SPAN)
         return max(COME_BACK, left)
 
     def _pass(self, now: float) -> None:
@@ -81,4 +86,4 @@
                 first, second = longest, first
             elif longest > second:
                 second = longest
-        self._reserve = second
+        self._reserve = max(second, HALF * first)
