A late driver answers ahead of new requests by half of its usual delay

Need: a turn that reads for 0.2 s gave its answers at the last moment, and then was late itself. Change: before a new request is read, those within half of the reserve of their time's end are answered.

--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -173,15 +173,15 @@
         return True
 
     def before_reading(self) -> None:
-        """Answer those whose time is wholly up before a new request is read.
+        """Answer those whose time is up, or will be before half of the usual delay, ahead of a new request.
 
         Guards against a turn so long that timers wait behind all it reads. May hurt: an answer that lies
         unread in another socket of this turn comes too late to be passed on.
         """
         if self.deadlines:
             now = self.clock.now()
-            if self.deadlines[0][0] <= now:
-                self._end_due(now)
+            if self.deadlines[0][0] <= (soon := now + self.pace.reserve(now) / 2.0):
+                self._end_due(soon)
 
     def _end_due(self, until: float) -> None:
         while self.deadlines and self.deadlines[0][0] <= until:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -201,6 +201,17 @@
     assert [a.verdict for a in got] == [Verdict.FAILED]
 
 
+def test_in_a_late_drivers_long_turn_answers_do_not_wait_for_the_last_moment():
+    front = Front()
+    _, got = ask(front, "upload", 0.5)
+    front.turn()
+    make_late(front, 0.1)  # and now asked long enough ago that 0.04 s are left, in the middle of a turn
+    front.task.rightNow = 1000.0 + 0.5 - 0.04
+    front.engine.before_reading()
+    front.turn()
+    assert [a.verdict for a in got] == [Verdict.FAILED]
+
+
 # Nothing is sent after the answer, and nothing long after its decision
 
 
