No division by nothing for a class without an aim; keyed retries end in their window

Need: the property test met a division by zero in the new limit (answers in no time, a class without an aim). Change: a least base; such a client's second try is patient for what is left of the window.

--- a/sedgepitch/decide/capacity.py
+++ b/sedgepitch/decide/capacity.py
@@ -31,6 +31,7 @@
 LEAST_SAMPLE = 6  # answers of a class in a span
 GAIN = 2.0  # the median answer's time, as a multiple of that without a queue
 LOW = 0.05  # share of a class's aim that stands in for a base below it
+LEAST_BASE = 0.002  # s; a base below this tells of the loop's turns, and one of nothing would divide by it
 LEAST = 2.0  # requests that may be inside, whatever happens
 CUT_FIRST, CUT = 0.4, 0.75  # the limit after a span, at least, of what was inside: at the first queue, later
 GROW, GROW_LEAST = 1.1, 0.5  # growth of a limit that is in use, a span
@@ -119,7 +120,7 @@
         changed = not middles
         for name, (aim, middle, _) in middles.items():
             old = self._base.get(name, 0.0)
-            changed = changed or abs(middle - old) > SAME * max(old, LOW * aim)
+            changed = changed or abs(middle - old) > SAME * max(old, LOW * aim, LEAST_BASE)
             self._base[name] = middle
         self._pause = SOON if changed else min(2 * self._pause, SELDOM)
         self._since_dip, self.bound = 0, self.limit
@@ -129,7 +130,7 @@
         for name, (aim, middle, count) in middles.items():
             base = min(self._base.get(name, middle), middle)
             self._base[name] = base
-            ratio += count * middle / max(base, LOW * aim)
+            ratio += count * middle / max(base, LOW * aim, LEAST_BASE)
             total += count
         ratio /= total
         if ratio > GAIN:
@@ -140,7 +141,7 @@
             self.limit = max(self.limit * (2.0 if self.starting else GROW), self.limit + GROW_LEAST)
         self.bound = self.limit
         # A base is in doubt where answers take long and the limit is full: they may all have queued.
-        slow = any(middle > LOW * aim for aim, middle, _ in middles.values())
+        slow = any(middle > max(LOW * aim, LEAST_BASE) for aim, middle, _ in middles.values())
         full = self.most_inside >= max(2.0 * LEAST, self.limit - 1.0)
         if not (slow and full):
             return
--- a/sedgepitch/load/badday.py
+++ b/sedgepitch/load/badday.py
@@ -245,7 +245,15 @@
         self._try(kind, driver, session, tries=0, op="", started=now())
 
     def _try(
-        self, kind: Kind, driver: str, session: Session, tries: int, op: str, started: float, key: int = 0
+        self,
+        kind: Kind,
+        driver: str,
+        session: Session,
+        tries: int,
+        op: str,
+        started: float,
+        key: int = 0,
+        unsure: bool = False,
     ) -> None:
         self.count += 1
         rid = f"{kind.name}-{self.count}"
@@ -268,6 +276,8 @@
                 command["readConcern"] = {"afterClusterTime": session.after}
         command |= {"$db": "sky", "comment": comment}
         patience = kind.deadline * self.random.uniform(0.4, 1.0)
+        if keyed and unsure:  # members forget the key: a try that could run after that is none to make
+            patience = max(0.01, min(patience, kind.window - (now() - started)))
         leaves = self.random.random() < 0.02  # half of them before their request can have been read
         ask = Ask(
             rid=rid,
@@ -293,11 +303,11 @@
                 return
             wait = got.come_back or self.random.uniform(*RETRY_WAIT)
             other = driver if keyed else self.random.choice(sorted(self.callers))
-            self.reactor.callLater(wait, again, other)
+            self.reactor.callLater(wait, again, other, got.verdict not in ("refused", "unsent"))
 
-        def again(other: str) -> None:
+        def again(other: str, unsure: bool) -> None:
             if self.drawing:
-                self._try(kind, other, session, tries + 1, op, started, key)
+                self._try(kind, other, session, tries + 1, op, started, key, unsure)
             else:  # the day is over; what came of the first try stands
                 self._count(kind, Got(ask, "refused", 0.0), now() - started)
 
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -119,6 +119,16 @@
     assert limit.bound > 32
 
 
+def test_answers_that_took_no_time_of_a_class_without_an_aim_set_no_limit():
+    limit = RoomLimit(0.0)
+    for step in range(40):
+        limit.inside(4, step * 0.1)
+        limit.answered("upload", 0.0, 0.0, step * 0.1)
+        limit.measure(step * 0.1)
+    assert limit.bound >= 16
+    assert not limit.dipping
+
+
 # The driver's own load
 
 
