--- a/sedgepitch/config/models.py
+++ b/sedgepitch/config/models.py
@@ -258,11 +258,13 @@
     def module_settings(self) -> api.Settings:
         """Return all that the module is told.
 
-        Bounds that run out while a decision is carried out are told shorter by the time that may take.
+        Bounds that run out while a decision is carried out are told shorter by the time that may take. A
+        window also by the class's aim: members look for the key when they come to run the write, not when
+        its bytes arrive.
         """
         passed = self.limits.handover_within
         told_classes = tuple(
-            replace(c, max_age=max(0.0, c.max_age - passed), window=max(0.0, c.window - passed))
+            replace(c, max_age=max(0.0, c.max_age - passed), window=max(0.0, c.window - passed - c.aim))
             for c in variants(self.request_classes())
         )
         told: dict[str, Any] = {name: getattr(self.module, name) for name in ModuleModel.model_fields}
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -289,6 +289,6 @@
 
     told = {c.name: c for c in parse(EXAMPLE, "example").module_settings().classes}
     assert told["map-read"].max_age == pytest.approx(0.45)
-    assert told["upload"].window == pytest.approx(1.15)
+    assert told["upload"].window == pytest.approx(0.95)
     with pytest.raises(SettingsError, match="handover_within"):
         parse(EXAMPLE + "\nlimits: {handover_within: 300 ms}\n", "example")
