--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -15,7 +15,8 @@
 from benchmarks.rig import Rig
 from sedgepitch import interface as api
 from sedgepitch.config.load import parse
-from sedgepitch.decide.door import Admit, Arrival, Door, DoorSettings
+from sedgepitch.decide.door import Door, DoorSettings
+from sedgepitch.decide.entry import Admit, Arrival
 from sedgepitch.policy import Router
 from sedgepitch.structures.sketch import FadingSketch
 from sedgepitch.structures.wheel import Wheel
--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -17,17 +17,20 @@
 
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from sedgepitch import interface as api
 from sedgepitch.core.ledger import Account, Ledger
 from sedgepitch.core.types import Answer, Answered, AttemptEnd, Clock, Command, Ended, Members, Verdict
-from sedgepitch.decide.door import Admit, Arrival, Decision, Door
+from sedgepitch.decide.entry import Admit, Arrival, Decision
 from sedgepitch.decide.ownload import OwnLimit
 from sedgepitch.decide.pace import COME_BACK, Pace
 from sedgepitch.interface import Effect, Freshness, Result
 from sedgepitch.policy import Router
 
+if TYPE_CHECKING:
+    from sedgepitch.decide.door import Door
+
 TICK = 0.01  # s between looks at deadlines and at what the door holds, while an answer is owed
 LEAST_TIME = 0.02  # s beyond the driver's own delay below which a request is refused on arrival
 OVERDUE = 0.02  # s past its time after which an answer that no decision brought is given here
--- a/sedgepitch/core/pool.py
+++ b/sedgepitch/core/pool.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from sedgepitch.core.types import AttemptEnd, Clock, Ended
@@ -29,6 +29,7 @@
     most: int = 64
     connect_within: float = 1.0
     idle_for: float = 60.0
+    linger: float = LINGER  # 0 where giving up means to close
 
 
 class Connection(Protocol):
@@ -43,6 +44,27 @@
     def unsent(self) -> int:
         """How many bytes wait for the socket to take them."""
 
+    def usable(self) -> bool:
+        """Whether an idle connection still is what it was: open, with nothing come that nobody asked for."""
+
+
+class Room(Protocol):
+    """Who may say that there is no descriptor for one more connection."""
+
+    def take(self) -> bool:
+        """Take one; False where there is none."""
+
+    def give(self) -> None:
+        """Give one back."""
+
+
+class _Boundless:
+    def take(self) -> bool:
+        return True
+
+    def give(self) -> None:
+        pass
+
 
 class Connector(Protocol):
     """Opens connections; exactly one of the two callbacks follows, and `lost` once after `ready`."""
@@ -132,12 +154,17 @@
         exchange, self.exchange = self.exchange, None
         self.pool.drop(self)
         if exchange is not None and not self.lingering:
-            exchange.end(AttemptEnd(Result.RESET, why=why))
+            # What stands in this process has not left: no member can have read the request whole.
+            unsent = self.connection is not None and self.connection.unsent() > 0
+            exchange.end(AttemptEnd(Result.CONNECT_FAILED if unsent else Result.RESET, why=why))
 
     def linger(self) -> None:
         """Nobody waits any more: wait a little for the answer, then close."""
         self.lingering = True
-        self.timer = self.pool.clock.call_later(LINGER, self.close)
+        if self.pool.limits.linger > 0.0:
+            self.timer = self.pool.clock.call_later(self.pool.limits.linger, self.close)
+        else:
+            self.close()
 
     def close(self) -> None:
         """End the connection."""
@@ -194,8 +221,10 @@
         connector: Connector,
         judge: Callable[[_Exchange, Any], AttemptEnd],
         limits: PoolLimits,
+        room: Room | None = None,
     ) -> None:
         self.clock, self.connector, self.judge, self.limits = clock, connector, judge, limits
+        self.room: Room = room or _Boundless()
         self.lanes: set[_Lane] = set()
         self.idle: list[_Lane] = []  # least lately used first
         self.closed = False
@@ -210,7 +239,7 @@
         if now > by:
             self.clock.soon(exchange.end, AttemptEnd(Result.NOT_SENT, why="decided too long ago"))
             return exchange
-        lane = self.idle.pop() if self.idle else None
+        lane = self._idle_lane(now)
         if lane is not None:
             self._hand(lane, exchange)
             lane.begin()
@@ -221,6 +250,8 @@
         elif len(self.lanes) >= self.limits.most or self.closed:
             end = AttemptEnd(Result.CONNECT_FAILED, why="all connections to the member are in use")
             self.clock.soon(exchange.end, end)
+        elif not self.room.take():
+            self.clock.soon(exchange.end, AttemptEnd(Result.NOT_SENT, why="no descriptor is free"))
         else:
             lane = _Lane(self)
             self.lanes.add(lane)
@@ -228,12 +259,39 @@
             lane.open()
         return exchange
 
+    def _idle_lane(self, now: float) -> _Lane | None:
+        """The connection used last that is still good; those that are not are closed.
+
+        Guards against a request written where its answer is already wrong: behind bytes that nobody asked
+        for, or onto a connection that the member has closed or will close while the request is under way.
+        May hurt: one more system call for each use of a connection.
+        """
+        while self.idle:
+            lane = self.idle.pop()
+            assert lane.connection is not None
+            if now - lane.idle_since <= self.limits.idle_for and lane.connection.usable():
+                return lane
+            lane.close()
+        return None
+
+    def tidy(self) -> None:
+        """Close what has been idle for too long; for owners whose members may not be used for long."""
+        now = self.clock.now()
+        while self.idle and now - self.idle[0].idle_since > self.limits.idle_for:
+            self.idle.pop(0).close()
+
     def close_idle(self) -> None:
         """Close what is not in use."""
         idle, self.idle = self.idle, []
         for lane in idle:
             lane.close()
 
+    def retire(self) -> None:
+        """Close as soon as what is under way has ended; nothing new is sent."""
+        self.closed = True
+        self.limits = replace(self.limits, idle_for=-1.0)  # whatever falls idle goes at once
+        self.close_idle()
+
     def close(self) -> None:
         """Close everything; exchanges under way end as reset."""
         self.closed = True
@@ -251,12 +309,13 @@
         now = self.clock.now()
         lane.idle_since = now
         self.idle.append(lane)
-        while self.idle and now - self.idle[0].idle_since > self.limits.idle_for:
-            self.idle.pop(0).close()
+        self.tidy()
 
     def drop(self, lane: _Lane) -> None:
         """Forget a connection that has ended."""
-        self.lanes.discard(lane)
+        if lane in self.lanes:
+            self.lanes.discard(lane)
+            self.room.give()
         if lane in self.idle:
             self.idle.remove(lane)
 
--- a/sedgepitch/decide/door.py
+++ b/sedgepitch/decide/door.py
@@ -24,6 +24,7 @@
 
 from sedgepitch.decide.calendar import Calendar
 from sedgepitch.decide.capacity import RoomLimit
+from sedgepitch.decide.entry import Admit, Arrival, Decision, TurnAway
 from sedgepitch.decide.fairqueue import FairQueue, Held
 from sedgepitch.structures.sketch import FadingSketch
 from sedgepitch.structures.wheel import Entry, Wheel
@@ -58,46 +59,6 @@
     retry_share: float = 0.2  # of a tenant's first tries that unannounced retries may add
 
 
-@dataclass(slots=True)
-class Arrival:
-    """A request before the door.
-
-    `mark` tells who may come on a promise; `key` is the same for each try of one request and no other, empty
-    where the protocol does not show that.
-    """
-
-    id: int
-    tenant: str
-    client: str
-    class_name: str
-    worth: float
-    time_left: float
-    group: int
-    primary_only: bool
-    mark: str
-    key: str = ""
-    aim: float = 0.0  # s in which an answer is worth its while; 0 where any answer within its time is
-
-
-@dataclass(slots=True)
-class Admit:
-    """Let it in now."""
-
-    id: int
-
-
-@dataclass(slots=True)
-class TurnAway:
-    """Refuse it; come back after that many seconds, 0 where nothing can be promised."""
-
-    id: int
-    come_back: float
-    why: str
-
-
-Decision = Admit | TurnAway
-
-
 @dataclass(slots=True, eq=False)
 class _Ticket:
     """One request from its arrival to its end."""
--- /dev/null
+++ b/sedgepitch/decide/membership.py
@@ -0,0 +1,88 @@
+"""The member list as versions of it arrive: what is believed, and what has to be asked anew.
+
+Sources tell whole lists and changes, each with a version. A change counts if it is newer than what is held;
+one that is not has been told already. A whole list always counts: whoever tells it says that all else is
+void, so a version that went back (a source that lost its memory) is taken as it is. Members are named by
+strings there and by numbers in the module; the number is made of the name alone, so that every driver and
+every start of one uses the same, and is kept for as long as the name is listed or in use here.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from zlib import crc32
+
+from sedgepitch.interface import Listing, Members, State
+
+Address = tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """One member as a source tells it. `started` is on the driver's clock, 0 where that was long ago."""
+
+    name: str
+    address: Address
+    zone: str
+    group: int
+    state: State
+    size: float
+    started: float
+    primary: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Version:
+    """One object of the source."""
+
+    revision: int
+    complete: bool
+    entries: tuple[Entry, ...]
+
+
+class Membership:
+    """What this driver holds of the list. Pure; names that are let go are forgotten wholly."""
+
+    __slots__ = ("addresses", "names", "numbers", "present", "revision")
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.numbers: dict[str, int] = {}
+        self.names: dict[int, str] = {}
+        self.addresses: dict[int, Address] = {}
+        self.present: set[int] = set()
+
+    def take(self, version: Version, remembered: bool = False) -> Members | None:
+        """Take a version; returns what the module is to hear, None where it says nothing new.
+
+        A remembered list gives members but no version: it may be out of date.
+        """
+        if not remembered:
+            if not version.complete and version.revision <= self.revision:
+                return None
+            self.revision = version.revision
+        listings = tuple(self._listing(entry) for entry in version.entries)
+        if version.complete:
+            self.present = set()
+        for listing in listings:
+            if listing.state is State.GONE:
+                self.present.discard(listing.member)
+            else:
+                self.present.add(listing.member)
+        return Members(listings, version.complete, remembered)
+
+    def forget(self, number: int) -> None:
+        """Nothing here uses a member any more; its name goes unless it is listed."""
+        if number not in self.present and number in self.names:
+            del self.numbers[self.names.pop(number)]
+            self.addresses.pop(number, None)
+
+    def _listing(self, entry: Entry) -> Listing:
+        number = self.numbers.get(entry.name)
+        if number is None:
+            number = crc32(entry.name.encode("utf-8", "replace"))
+            while number in self.names:
+                number = (number + 1) & 0xFFFFFFFF
+            self.numbers[entry.name], self.names[number] = number, entry.name
+        self.addresses[number] = entry.address
+        return Listing(number, entry.group, entry.state, entry.zone, entry.primary, entry.size, entry.started)
--- a/sedgepitch/fronts/mongo/member.py
+++ b/sedgepitch/fronts/mongo/member.py
@@ -158,6 +158,10 @@
         """How many bytes wait for the socket to take them."""
         return int(self.transport.unsent()) if hasattr(self.transport, "unsent") else 0
 
+    def usable(self) -> bool:
+        """Whether it may carry the next request."""
+        return transport.quiet(self.transport)
+
     def _write(self, payload: Any) -> None:
         self.number = self.number % 0x7FFFFFFF + 1
         self.transport.write(codec.build_raw(payload.sections(), self.number, 0))
--- /dev/null
+++ b/sedgepitch/fronts/postgres/client.py
@@ -0,0 +1,334 @@
+"""The clients' side of the platform's protocol: one connection each, one statement at a time on it.
+
+What a client sends ahead waits unread, up to a bound. Who says nothing, or half of something, is closed by
+the time since it came or since that half began. What cannot be read ends its connection with an error, what
+reads but is not served gets an error; neither touches another client, and nothing of it goes to a member.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from sedgepitch.core.engine import Engine
+from sedgepitch.core.ledger import Account
+from sedgepitch.core.types import Answer, Clock, Command, Verdict
+from sedgepitch.decide.descriptors import Descriptors
+from sedgepitch.fronts.postgres import codec, statements
+from sedgepitch.fronts.postgres.codec import BadMessage, Reader
+from sedgepitch.fronts.postgres.statements import BadStatement, Statement
+from sedgepitch.interface import Freshness, RequestClass
+
+ANSWER_MARGIN = 0.01  # s before the client's time is up at which its answer leaves
+READ_AHEAD = 64 * 1024  # bytes that a client may send ahead before its socket is left unread
+TALK_WITHIN = 2.0  # s for a client to introduce itself, or to end a message that it has begun
+TAKE_WITHIN = 5.0  # s for a client to take an answer
+LOOK_EVERY = 0.2  # s between looks at those
+DRAIN = 256 * 1024  # bytes read and dropped behind an error, so that the error arrives
+DRAIN_WITHIN = 0.5  # s for that
+REFUSED, FAILED, BROKEN = "53300", "58000", "08P01"
+
+
+class Front:
+    """What all connections of one listener share."""
+
+    def __init__(
+        self,
+        engine: Engine,
+        clock: Clock,
+        classes: Mapping[str, RequestClass],
+        wall: float,
+        descriptors: Descriptors,
+        log: Callable[..., None] = lambda *a, **k: None,
+    ) -> None:
+        self.engine, self.clock, self.classes, self.wall = engine, clock, classes, wall
+        self.descriptors, self.log = descriptors, log
+        self.open_ids: set[bytes] = set()
+        self.connections: set[ClientConnection] = set()
+        self.idle: OrderedDict[ClientConnection, None] = OrderedDict()  # least lately used first
+        self.talking: OrderedDict[ClientConnection, float] = OrderedDict()  # unfinished since
+        self.clogged: OrderedDict[ClientConnection, float] = OrderedDict()
+        self.accepted = self.bad_messages = self.bad_statements = self.timed_out = self.evicted = 0
+        self.closing_from = float("inf")  # from then on connections without a request are closed
+        clock.call_later(LOOK_EVERY, self._look)
+
+    def make_room(self) -> bool:
+        """Close the client that has been idle longest; False where none is."""
+        if not self.idle:
+            return False
+        oldest, _ = self.idle.popitem(last=False)
+        self.evicted += 1
+        oldest.transport.abortConnection()
+        return True
+
+    def _look(self) -> None:
+        now = self.clock.now()
+        for table, within in ((self.talking, TALK_WITHIN), (self.clogged, TAKE_WITHIN)):
+            while table:
+                connection, since = next(iter(table.items()))
+                if now - since < within:
+                    break
+                del table[connection]
+                self.timed_out += 1
+                connection.too_slow()
+        if now >= self.closing_from:
+            for connection in list(self.idle):
+                connection.transport.loseConnection()
+        self.clock.call_later(LOOK_EVERY, self._look)
+
+
+@implementer(IPushProducer)
+class _Outlet:
+    """Told by the transport when the client does not take its answers, and when it does again."""
+
+    def __init__(self, connection: ClientConnection) -> None:
+        self.connection = connection
+
+    def pauseProducing(self) -> None:
+        """Too much is unsent."""
+        connection = self.connection
+        connection.clogged = True
+        connection.front.clogged.setdefault(connection, connection.front.clock.now())
+
+    def resumeProducing(self) -> None:
+        """All of it has gone."""
+        connection = self.connection
+        connection.clogged = False
+        connection.front.clogged.pop(connection, None)
+        connection.advance()
+
+    def stopProducing(self) -> None:
+        """The connection ends."""
+
+
+class ClientConnection(Protocol):
+    """One client."""
+
+    transport: Any
+
+    def __init__(self, front: Front, number: int) -> None:
+        self.front, self.number = front, number
+        self.reader = Reader(codec.FROM_CLIENT)
+        self.account: Account | None = None
+        self.greeted = self.busy = self.clogged = self.stopped = False
+        self.ending = False  # an error has been said; what still comes is dropped
+        self.dropped = 0
+        self.since = 0.0  # when the first byte of what is unread came
+
+    # Flow
+
+    def connectionMade(self) -> None:
+        """Count it, and make room where there is none."""
+        front = self.front
+        front.connections.add(self)
+        if not front.descriptors.client_came() and not front.make_room():
+            self.transport.abortConnection()
+            return
+        self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(_Outlet(self), True)
+        front.talking[self] = front.clock.now()
+
+    def dataReceived(self, data: bytes) -> None:
+        """Take bytes; while a statement is under way they only gather."""
+        front = self.front
+        if self.ending:
+            self.dropped += len(data)
+            if self.dropped > DRAIN:
+                self.transport.abortConnection()
+            return
+        arrived = getattr(self.transport, "arrived", 0.0)
+        if arrived and not self.stopped:
+            now = front.clock.now()
+            front.engine.waited(now - arrived, now)
+        if not self.reader.held:
+            self.since = arrived or front.clock.now()
+        self.reader.feed(data)
+        self.advance()
+        if self.busy and self.reader.held > READ_AHEAD and not self.stopped:
+            self.stopped = True
+            self.transport.pauseProducing()
+
+    def advance(self) -> None:
+        """Go on with what is here, one statement a turn: who sends hundreds keeps nobody waiting."""
+        front = self.front
+        if self.busy or self.clogged or self.ending:
+            return
+        try:
+            if not self.greeted:
+                self._greet()
+            if self.greeted and not self.busy and (found := self.reader.next()) is not None:
+                self._message(found[0], found[1])
+        except BadMessage as error:
+            front.bad_messages += 1
+            self.end(codec.error(BROKEN, str(error), fatal=True))
+            return
+        if self.busy or self.ending:
+            return
+        if self.stopped:
+            self.stopped = False
+            self.transport.resumeProducing()
+        if self.greeted and not self.reader.held:
+            front.talking.pop(self, None)
+            front.idle[self] = None
+            front.idle.move_to_end(self)
+        else:
+            front.idle.pop(self, None)
+            front.talking.setdefault(self, front.clock.now())
+
+    def _greet(self) -> None:
+        while (found := self.reader.startup()) is not None:
+            code, body = found
+            if code == codec.CANCEL:
+                self.end(b"")
+                return
+            if code in (codec.SSL, codec.GSS):
+                self.transport.write(b"N")
+                continue
+            codec.startup_parameters(body)
+            self.greeted = True
+            self.transport.write(codec.WELCOME + codec.key_data(self.number) + codec.READY)
+            return
+
+    def too_slow(self) -> None:
+        """Half of something, or nothing, for too long; or an answer that is not taken."""
+        if self.clogged or self.ending:
+            self.transport.abortConnection()
+        else:
+            self.end(codec.error(BROKEN, "nothing whole came in time", fatal=True))
+
+    def end(self, last: bytes) -> None:
+        """Say the last thing, read on a little so that it arrives, and close."""
+        front = self.front
+        self.ending = True
+        front.idle.pop(self, None)
+        front.talking.pop(self, None)
+        if last:
+            self.transport.write(last)
+        self.reader = Reader({})
+        if hasattr(self.transport, "loseWriteConnection"):
+            self.transport.loseWriteConnection()
+        if self.stopped:
+            self.stopped = False
+            self.transport.resumeProducing()
+        front.clock.call_later(DRAIN_WITHIN, self._close)
+
+    def _close(self) -> None:
+        if self in self.front.connections:
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """The client has left."""
+        front = self.front
+        front.connections.discard(self)
+        for table in (front.idle, front.talking, front.clogged):
+            table.pop(self, None)
+        front.descriptors.client_left()
+        if self.account is not None:
+            account, self.account = self.account, None
+            front.open_ids.discard(account.command.payload.id)
+            front.engine.gone(account)
+
+    # Statements
+
+    def _message(self, kind: bytes, raw: bytes) -> None:
+        if kind == b"X":
+            self.end(b"")
+            return
+        if raw[-1]:
+            raise BadMessage("a statement without its end")
+        text = raw[5:-1]
+        if not text or not text.strip(b" \t\r\n;"):
+            self.transport.write(codec.EMPTY)
+            self._next()
+            return
+        front = self.front
+        front.engine.before_reading()
+        try:
+            statement = statements.read(text, front.classes)
+            if statement.id in front.open_ids:
+                raise BadStatement("id: a request of this id is open", "42710")
+        except BadStatement as error:
+            front.bad_statements += 1
+            self.transport.write(codec.error(error.code, str(error)) + codec.READY)
+            self._next()
+            return
+        self._submit(statement)
+
+    def _next(self) -> None:
+        """Answered: what was sent ahead is taken by a later turn."""
+        self.busy = False
+        if self.reader.held:
+            self.busy = True
+            self.front.clock.soon(self._go_on)
+
+    def _go_on(self) -> None:
+        self.busy = False
+        self.since = self.front.clock.now()  # the time waiting for those ahead does not count
+        if self in self.front.connections:
+            self.advance()
+
+    def _submit(self, statement: Statement) -> None:
+        front, now = self.front, self.front.clock.now()
+        arrived = min(now, self.since) if self.since else now
+        statement.until = arrived + statement.time_left
+        age = 0.0
+        if statement.after and statement.cls.freshness is Freshness.SESSION:
+            age = max(1e-6, now + front.wall - statement.after / 1000.0)
+        session = statement.session if statement.cls.freshness in (Freshness.WRITE, Freshness.SESSION) else ""
+        command = Command(
+            statement.cls.name,
+            statement.group,
+            statement.time_left - ANSWER_MARGIN,
+            statement,
+            session,
+            age,
+            self.number,
+        )
+        self.busy = True
+        front.idle.pop(self, None)
+        front.talking.pop(self, None)
+        front.open_ids.add(statement.id)
+        account = front.engine.submit(command, self._answered, arrived)
+        if account.open:
+            self.account = account
+
+    def _answered(self, answer: Answer) -> None:
+        front = self.front
+        if self.account is not None:
+            front.open_ids.discard(self.account.command.payload.id)
+            self.account = None
+        if answer.verdict is Verdict.SERVED:
+            out = answer.reply + codec.READY
+        elif answer.verdict is Verdict.REFUSED:
+            pause = str(max(1, round(answer.come_back * 1000.0))) if answer.come_back > 0 else ""
+            out = codec.error(REFUSED, answer.why or "refused", pause) + codec.READY
+        else:
+            out = codec.error(FAILED, answer.why or "failed") + codec.READY
+        self.transport.write(out)
+        self._next()
+        if not self.busy:
+            front.clock.soon(self._rest)
+
+    def _rest(self) -> None:
+        if self in self.front.connections:
+            self.advance()
+
+
+class ClientFactory(Factory):
+    """Makes a protocol for each client of a listener."""
+
+    noisy = False
+
+    def __init__(self, front: Front) -> None:
+        self.front = front
+
+    def buildProtocol(self, addr: Any) -> ClientConnection:
+        """Build one."""
+        self.front.accepted += 1
+        return ClientConnection(self.front, self.front.accepted)
--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -147,6 +147,22 @@
         return StampedClient(self.host, self.port, self.bindAddress, self, self.reactor)
 
 
+def quiet(opened: Any) -> bool:
+    """Whether nothing waits to be read on an open connection: no bytes, no end, no error."""
+    if getattr(opened, "disconnecting", False) or not getattr(opened, "connected", True):
+        return False
+    held = getattr(opened, "socket", None)
+    if held is None:
+        return True
+    try:
+        held.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
+
+
 def listen(reactor: Any, port: int, factory: Any, interface: str, backlog: int) -> StampedPort:
     """Open a port, like `reactor.listenTCP`; raises CannotListenError."""
     opened = StampedPort(port, factory, backlog, interface, reactor)
--- /dev/null
+++ b/sedgepitch/node/driver.py
@@ -0,0 +1,204 @@
+"""One driver on the platform, put together: front, engine, module, members, discovery, signals' meaning."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+from sedgepitch import interface as api
+from sedgepitch.core.clock import ReactorClock
+from sedgepitch.core.engine import Engine
+from sedgepitch.core.pool import PoolLimits
+from sedgepitch.decide.descriptors import Descriptors
+from sedgepitch.decide.membership import Membership, Version
+from sedgepitch.fleet.catalog import Catalog
+from sedgepitch.fronts.postgres.client import ClientFactory, Front
+from sedgepitch.fronts.postgres.member import PgMembers
+from sedgepitch.net import transport
+from sedgepitch.node.config import Config
+from sedgepitch.node.lines import Lines
+from sedgepitch.policy import Router
+
+HANDOVER = 0.04  # s that a decision which ages may take to leave; the rules on sockets leave 50 ms
+IDLE_SHARE = 0.8  # of the time after which members close idle connections
+BACKLOG = 512
+ACCEPTS = 16  # connections accepted in one turn
+STILL_COMING = 0.5  # s after the signal to stop in which new connections still come
+IDLE_CLOSED_AFTER = 0.6  # s after it from which connections without a request are closed
+STOP_LOOK = 0.05
+REPORT_EVERY = 10.0  # s between lines about the driver itself
+
+
+class Driver:
+    """One driver on a reactor. `wall` is what Unix time is ahead of the monotonic clock, fixed once."""
+
+    def __init__(self, reactor: Any, config: Config, lines: Lines, wall: float) -> None:
+        self.reactor, self.config, self.lines, self.wall = reactor, config, lines, wall
+        self.clock = ReactorClock(reactor)
+        self.descriptors = Descriptors(config.sockets)
+        self.membership = Membership()
+        self.members = PgMembers(
+            reactor,
+            self.clock,
+            PoolLimits(
+                most=self.descriptors.members_most,
+                connect_within=config.connect_within,
+                idle_for=IDLE_SHARE * config.idle_for,
+                linger=0.0,
+            ),
+            self.descriptors,
+            wall,
+            probe_within=config.connect_within,
+        )
+        self.engine = Engine(
+            Router(config.settings, config.seed),
+            self.members,
+            self.clock,
+            watch=self._watch,
+            log=lambda text: lines.say("module", text=text),
+            handover=HANDOVER,
+            on_fault=self._fault,
+        )
+        self.front = Front(self.engine, self.clock, self.engine.classes, wall, self.descriptors, lines.say)
+        self.members.heard = self._heard
+        self.members.forgotten = self._forgotten
+        self.catalog = self._catalog(config)
+        self.port: Any = None
+        self.trouble = ""
+
+    def start(self) -> None:
+        """Believe the remembered list, follow discovery, listen. Raises CannotListenError."""
+        if self.config.known is not None:
+            self._take(self.config.known, remembered=True)
+        self.catalog.start()
+        host, port = self.config.listen
+        self.port = transport.listen(self.reactor, port, ClientFactory(self.front), host, BACKLOG)
+        self.port.numberAccepts = ACCEPTS
+        self.clock.call_later(REPORT_EVERY, self._report)
+        config = self.config
+        self.lines.say(
+            "listening",
+            address=f"{host}:{self.port.getHost().port}",
+            cores=config.cores,
+            memory_mb=config.memory,
+            sockets=config.sockets,
+            members=len(self.membership.present),
+        )
+
+    # Discovery
+
+    def _catalog(self, config: Config) -> Catalog:
+        return Catalog(
+            self.reactor,
+            self.clock,
+            config.discovery,
+            self.wall,
+            lambda: self.membership.revision,
+            self._take,
+            self._troubled,
+            config.seed,
+        )
+
+    def _take(self, version: Version, remembered: bool = False) -> None:
+        self.trouble = ""
+        told = self.membership.take(version, remembered)
+        if told is None:
+            return
+        self.members.addresses = self.membership.addresses
+        self.engine.list_changed(told)
+        self.lines.say(
+            "list",
+            revision=version.revision,
+            complete=version.complete,
+            remembered=remembered,
+            told=len(version.entries),
+            present=len(self.membership.present),
+        )
+
+    def _troubled(self, why: str) -> None:
+        if why != self.trouble:
+            self.trouble = why
+            self.lines.say("discovery.lost", why=why)
+        if self.config.settings.subscribe:
+            self.engine.feed(api.ListFailed())
+
+    def _watch(self) -> None:
+        """The module asks for changes: they are followed all the time here."""
+
+    def _forgotten(self, member: int) -> None:
+        self.engine.drained.pop(member, None)
+        self.membership.forget(member)
+
+    # Signals
+
+    def reload(self, config: Config) -> None:
+        """Take a new configuration: discovery moves, from the version held; the old watch ends after."""
+        old, self.config = self.catalog, config
+        self.catalog = self._catalog(config)
+        self.catalog.start()
+        self.clock.call_later(1.0, old.stop)
+        self.lines.say("reloaded", discovery="{}:{}".format(*config.discovery))
+
+    def stop(self, done: Callable[[], None]) -> None:
+        """End in order; calls back once nothing is owed and nobody is connected."""
+        began = self.clock.now()
+        self.front.closing_from = began + IDLE_CLOSED_AFTER
+        self.lines.say("stopping", owed=self.engine.ledger.owed, clients=len(self.front.connections))
+
+        def look() -> None:
+            passed = self.clock.now() - began
+            if passed >= STILL_COMING and self.port is not None:
+                port, self.port = self.port, None
+                port.stopListening()
+            if passed < IDLE_CLOSED_AFTER or self.engine.ledger.owed or self.front.connections:
+                self.clock.call_later(STOP_LOOK, look)
+                return
+            self.catalog.stop()
+            self.members.close()
+            self.lines.say("stopped", **self.figures())
+            done()
+
+        look()
+
+    # What it says
+
+    def _heard(self, arrived: float) -> None:
+        if arrived:
+            now = self.clock.now()
+            self.engine.waited(now - arrived, now)
+
+    def _fault(self, where: str, error: BaseException) -> None:
+        trace = error.__traceback__
+        while trace is not None and trace.tb_next is not None:
+            trace = trace.tb_next
+        place = f"{trace.tb_frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}" if trace else "?"
+        self.lines.say("engine.fault", at=where, place=place, error=f"{type(error).__name__}: {error}"[:300])
+
+    def figures(self) -> dict[str, Any]:
+        """How the driver itself does."""
+        engine, front, now = self.engine, self.front, self.clock.now()
+        return {
+            "answered": engine.ledger.settled,
+            "owed": engine.ledger.owed,
+            "accounts": len(engine.ledger.accounts),
+            "clients": self.descriptors.clients,
+            "to_members": self.descriptors.members,
+            "no_descriptor": self.descriptors.refused,
+            "bad": front.bad_messages + front.bad_statements,
+            "timed_out": front.timed_out,
+            "evicted": front.evicted,
+            "spoilt": self.members.spoilt,
+            "reserve_ms": round(engine.pace.reserve(now) * 1000.0, 1),
+            "latest_ms": round(engine.pace.peak * 1000.0, 1),
+            "too_many": engine.too_many,
+            "too_slow": engine.too_slow,
+            "hurried": engine.hurried,
+            "overdue": engine.overdue,
+            "faults": engine.faults,
+            "cpu_s": round(time.process_time(), 2),
+        }
+
+    def _report(self) -> None:
+        self.lines.say("state", **self.figures())
+        self.clock.call_later(REPORT_EVERY, self._report)
--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -12,7 +12,8 @@
 
 from sedgepitch.core.types import Command, Verdict
 from sedgepitch.decide.calendar import GRACE, SLOT, Calendar
-from sedgepitch.decide.door import LEAST_ALLOWANCE, Admit, Arrival, Door, DoorSettings, TurnAway
+from sedgepitch.decide.door import LEAST_ALLOWANCE, Door, DoorSettings
+from sedgepitch.decide.entry import Admit, Arrival, TurnAway
 from sedgepitch.decide.fairqueue import FairQueue, Held
 from tests.front import Front
 
--- a/tests/test_door_aims.py
+++ b/tests/test_door_aims.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from sedgepitch.decide.door import Admit, Door, DoorSettings, TurnAway
+from sedgepitch.decide.door import Door, DoorSettings
+from sedgepitch.decide.entry import Admit, TurnAway
 from tests.test_door import Fleet, arrival
 
 AIM = 0.2
