An attempt of an answered request ends with the client's time

Checked: the beliefs line shows the same 3 attempts under way at a member for 15 s, each on a connection of its own, the member kept as silent with its trial out. Ruled out: limits, reports, roles, positions (all sound in that line). Cause: Engine._end_due looked at open accounts alone; an attempt that lost to another and was never answered (a connection gone silent) had no end.

--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -155,7 +155,7 @@
         if self.door is not None:
             self._decided(self.door.tick(now))
         self._end_due(now + self.pace.reserve(now))
-        if self.ledger.owed and self.tick_due == NEVER:
+        if (self.ledger.owed or self.deadlines) and self.tick_due == NEVER:
             self.tick_due = self.clock.now() + TICK
             self.clock.call_later(TICK, self._tick)
 
@@ -190,8 +190,15 @@
         while self.deadlines and self.deadlines[0][0] <= until:
             _, number = heappop(self.deadlines)
             account = self.ledger.accounts.get(number)
-            if account is not None and account.open:
+            if account is None:
+                continue
+            if account.open:
                 self._time_up(account)
+                continue
+            # Answered long since, but an attempt still hangs: it ends with the client's time like any other.
+            # Else a member that went silent would hold it for ever, and the module count it as under way.
+            for attempt in list(account.out):
+                self._expire(account, attempt, "no answer in the client's time")
 
     def submit_pinned(
         self, member: int, command: Command, answered: Answered, arrived: float | None = None
@@ -249,9 +256,9 @@
             self._settle(account, Answer(Verdict.REFUSED, come_back=clears, why=why))
         else:
             heappush(self.deadlines, (account.deadline, account.id))
-            if len(self.deadlines) > 2 * self.ledger.owed + 64:
+            if len(self.deadlines) > 2 * len(self.ledger.accounts) + 64:
                 accounts = self.ledger.accounts
-                self.deadlines = [d for d in self.deadlines if d[1] in accounts and accounts[d[1]].open]
+                self.deadlines = [d for d in self.deadlines if d[1] in accounts]
                 heapify(self.deadlines)
             if self.tick_due == NEVER:
                 self.tick_due = now + TICK
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -27,7 +27,7 @@
 STILL_COMING = 0.5  # s after the signal to stop in which new connections still come
 IDLE_CLOSED_AFTER = 0.6  # s after it from which connections without a request are closed
 STOP_LOOK = 0.05
-REPORT_EVERY = 10.0  # s between lines about the driver itself
+REPORT_EVERY = 5.0  # s between lines about the driver itself
 
 
 class Driver:
@@ -199,6 +199,22 @@
             "cpu_s": round(time.process_time(), 2),
         }
 
+    def beliefs(self) -> str:
+        """What the module believes of each member beside what its connections show, one word a member."""
+        now, words = self.clock.now(), []
+        for member in self.engine.router.members.values():
+            link = self.members.links.get(member.id)
+            lanes = (len(link.pool.lanes), len(link.pool.idle)) if link else (0, 0)
+            role = "P" if self.engine.router.groups[member.group].primary is member else "r"
+            words.append(
+                f"{self.membership.names.get(member.id, member.id)}:{member.state.value}/{role}"
+                f"/{member.suspect or 'good'}/out{len(member.out)}/lanes{lanes[0]}-{lanes[1]}"
+                f"/limit{member.limit:.1f}/strain{member.strain:.2f}/load{member.load:.0f}"
+                f"/lag{min(99.0, now - member.position):.2f}"
+            )
+        return " ".join(words)
+
     def _report(self) -> None:
         self.lines.say("state", **self.figures())
+        self.lines.say("beliefs", members=self.beliefs())
         self.clock.call_later(REPORT_EVERY, self._report)
