--- a/sedgepitch/fronts/postgres/member.py
+++ b/sedgepitch/fronts/postgres/member.py
@@ -19,7 +19,6 @@
 from sedgepitch.core.types import AttemptEnd, Clock, Ended, Exchange
 from sedgepitch.fronts.postgres import codec
 from sedgepitch.fronts.postgres.codec import BadMessage, Reader
-from sedgepitch.fronts.postgres.statements import Statement
 from sedgepitch.interface import Listing, Report, Result, State
 from sedgepitch.net import transport
 from sedgepitch.settings import report as read_report
@@ -88,18 +87,24 @@
         self.parts: list[bytes] = []
         self.notes = 0
         self.why = ""
-        self.role = b""  # as last told; a connection's start tells it too
+        self.uses = 0
+        self.note: Callable[..., None] | None = None  # the trace's
 
     def connectionMade(self) -> None:
         """Introduce ourselves."""
         self.transport.setTcpNoDelay(True)
+        if self.note is not None:
+            self.note("connected")
         self.transport.write(codec.startup(self.names.user, self.names.database))
 
     def start(self, payload: Any, done: Callable[[Any], None]) -> None:
         """Send one statement."""
         self.done, self.reply, self.notes = done, Reply(), 0
         self.parts.clear()
+        self.uses += 1
         self.transport.write(codec.query(payload.text(self.now())))
+        if self.note is not None:
+            self.note("written", payload=payload, uses=self.uses, unsent=self.unsent())
 
     def close(self) -> None:
         """End the connection at once: here that is how an attempt is given up."""
@@ -229,6 +234,8 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Ended, by whomever; an error or a row that was whole still counts."""
         why = self.why or reason.getErrorMessage()
+        if self.note is not None:
+            self.note("ended", why=why, uses=self.uses, busy=self.reply is not None)
         if not self.greeted:
             self.failed(why)
             return
@@ -302,7 +309,7 @@
         self.links: dict[int, Link] = {}
         self.heard: Callable[[float], None] = lambda arrived: None
         self.forgotten: Callable[[int], None] = lambda member: None
-        self.trace: Callable[..., None] | None = None
+        self.trace: Callable[[int], Callable[..., None]] | None = None  # a connection's own notes
         self.spoilt = self.unread_reports = 0
         self.clock.call_later(TIDY_EVERY, self._tidy)
 
@@ -392,9 +399,13 @@
 
     def _pool(self, member: int, address: tuple[str, int]) -> Pool:
         def connect(ready: Any, failed: Callable[[str], None], lost: Callable[[str], None]) -> Any:
-            factory = _Factory(
-                lambda: MemberConnection(self.names, self.clock.now, ready, failed, lost, self.heard), failed
-            )
+            def make() -> MemberConnection:
+                made = MemberConnection(self.names, self.clock.now, ready, failed, lost, self.heard)
+                if self.trace is not None:
+                    made.note = self.trace(member)
+                return made
+
+            factory = _Factory(make, failed)
             connector = transport.connect(self.reactor, *address, factory, self.limits.connect_within + 1.0)
             return connector.disconnect
 
@@ -425,8 +436,6 @@
             end.reply = reply.value
         if usage:
             end.report = self._report(usage)
-        if self.trace is not None:
-            self.trace("reply", member, payload, reply, end)
         return end
 
     def _result(self, reply: Reply) -> Result:
@@ -442,8 +451,3 @@
             self.unread_reports += 1
             return None
         return read_report(fields, -self.wall)
-
-
-def is_statement(payload: Any) -> bool:
-    """Whether a payload is a client's own."""
-    return isinstance(payload, Statement)
--- a/sedgepitch/node/__main__.py
+++ b/sedgepitch/node/__main__.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from sedgepitch.node.config import BadConfig, load
-from sedgepitch.node.lines import Lines
+from sedgepitch.node.lines import TRACE_VARIABLE, Lines
 
 
 def install_reactor() -> Any:
@@ -36,7 +36,8 @@
 def main() -> int:
     """Serve until SIGTERM; returns the exit code."""
     environment = dict(os.environ)
-    lines = Lines(environment.get("RELAY_NAME", "driver"))
+    tracing = bool(environment.get(TRACE_VARIABLE))
+    lines = Lines(environment.get("RELAY_NAME", "driver"), tracing=tracing)
     wall = time.time() - time.monotonic()
     try:
         config = load(environment, wall)
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -51,8 +51,16 @@
             wall,
             probe_within=config.connect_within,
         )
+        if lines.tracing:
+            from sedgepitch.node.trace import Trace, TracedRouter
+
+            trace = Trace(config.name)
+            router: Router = TracedRouter(config.settings, config.seed, trace)
+            self.members.trace = trace.connection
+        else:
+            router = Router(config.settings, config.seed)
         self.engine = Engine(
-            Router(config.settings, config.seed),
+            router,
             self.members,
             self.clock,
             watch=self._watch,
--- a/sedgepitch/node/lines.py
+++ b/sedgepitch/node/lines.py
@@ -5,6 +5,7 @@
 import json
 import sys
 import time
+from collections.abc import Callable
 from typing import Any, TextIO
 
 MOST = 20  # lines a second
@@ -15,8 +16,11 @@
 class Lines:
     """The log, and the trace where it is switched on."""
 
-    def __init__(self, name: str, sink: TextIO | None = None, most: int = MOST) -> None:
+    def __init__(
+        self, name: str, sink: TextIO | None = None, most: int = MOST, tracing: bool = False
+    ) -> None:
         self.name, self.sink, self.most = name, sink or sys.stderr, most
+        self.tracing = tracing  # the trace is switched on
         self.second, self.count, self.dropped = 0, 0, 0
 
     def _room(self) -> bool:
@@ -47,6 +51,20 @@
 
     def __init__(self, name: str, sink: TextIO | None = None) -> None:
         super().__init__(name, sink, TRACE_MOST)
+        self.opened = 0
+
+    def connection(self, member: int) -> Callable[..., None]:
+        """Return what writes down the life of one more connection to a member."""
+        self.opened += 1
+        number = self.opened
+
+        def note(what: str, **fields: Any) -> None:
+            payload = fields.pop("payload", None)
+            if payload is not None:
+                fields["id"] = getattr(payload, "id", b"probe").decode()
+            self.put("socket", what=what, member=member, connection=number, **fields)
+
+        return note
 
     def put(self, kind: str, **fields: Any) -> None:
         """Write one line."""
