What later requests overtook is lost: no sign of load, and it gets a second copy

Checked with the trace: losses are by request, not by connection. Lines at fault: learn(), which took any time-out for lateness, and look_for_silence(), which knew silence of a member only. Now an attempt that at least 4 later ones have overtaken is lost: no strain, no cut, and a second copy after 4 mean answers, at the primary too for keyed writes.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -25,6 +25,8 @@
 PROBE_GAP = 0.25  # least time between two probes of a member, as a share of that bound
 # Health.
 SILENCE = 8.0  # answers that a member should have given meanwhile, judged by its peers' latency
+OVERTAKEN = 4  # answers to requests sent later that show one as lost on its way, not as waiting its turn
+OVERDUE = 4.0  # times the mean answer after which one so overtaken gets a second copy
 FAILING = 0.35  # share of failed answers above which a member is rested
 REST = (0.5, 4.0)  # s that a suspected member rests: at first, and at most; doubles with each failed trial
 TRIALS = 3  # good trials in a row that bring back a member that was failing
@@ -50,6 +52,9 @@
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT, Result.MISS)
 
 
+Sent = tuple[float, "Request", int]  # when; for whom; the count of answers from which on it is overtaken
+
+
 class Member:
     """What this driver knows of one member, from its own traffic, reports and the list."""
 
@@ -58,7 +63,7 @@
         self.size, self.state, self.started = listing.size, listing.state, listing.started
         self.listed_primary = self.hearsay = False  # named primary by the late list against its own word
         self.position, self.lag, self.role_at = -NEVER, NEVER, -NEVER
-        self.out: dict[tuple[int, int], tuple[float, Request]] = {}
+        self.out: dict[tuple[int, int], Sent] = {}
         self.last_answer = self.watched = self.used_at = -NEVER
         self.turn = 0.0
         self.idle = 0.0  # how long its connections had been unused before the last send
@@ -68,6 +73,7 @@
         self.trial, self.good_trials = None, 0
         self.limit, self.limit_at = start_limit, -NEVER  # own requests in flight
         self.strain, self.cold_from = 0.0, -NEVER
+        self.answers = 0
         self.load, self.load_at = 0.0, -NEVER  # as it reported
         self.dead = False  # a probe has failed since it was lost
         self.probing, self.probed_at = False, -NEVER
@@ -242,11 +248,11 @@
         member = self.members.get(event.member)
         if member is None or (event.request, event.attempt) not in member.out:
             return
-        sent, request = member.out.pop((event.request, event.attempt))
+        sent, request, lost_from = member.out.pop((event.request, event.attempt))
         if not member.out:
             self.busy.pop(member.id, None)
         group = self.groups[member.group]
-        self.learn(member, group, event, request)
+        self.learn(member, group, event, request, lost_from)
         request.out.pop(event.attempt)
         if event.result is Result.OK and request.cls.freshness is Freshness.WRITE and event.position:
             group.sessions[request.session] = max(group.sessions.get(request.session, 0.0), event.position)
@@ -263,7 +269,9 @@
         if not request.out:
             self.next_step(request)
 
-    def learn(self, member: Member, group: Group, event: api.Finished, request: Request) -> None:
+    def learn(
+        self, member: Member, group: Group, event: api.Finished, request: Request, lost_from: int
+    ) -> None:
         """Role, position, health, load and the side's sample, from one outcome."""
         now, cls, result, key = self.now, request.cls, event.result, (event.request, event.attempt)
         if event.primary is not None and group.told_role(member, event.primary, now):
@@ -293,9 +301,13 @@
             member.trial = None
         if result not in (Result.OK, Result.TIMEOUT, Result.FULL) or self.stalled:
             return
+        share = 1.5 if result is Result.FULL else min(1.5, event.elapsed / cls.aim)
+        if result is Result.OK:
+            member.answers += 1
+        elif result is Result.TIMEOUT and member.answers >= lost_from:
+            return  # those sent later were answered, so the member is not too busy
         late = result is not Result.OK or event.elapsed > LATE * cls.aim
         strained = member.strain > STRAINED
-        share = 1.5 if result is Result.FULL else min(1.5, event.elapsed / cls.aim)
         around = self.zone_strain.get(member.zone, 0.0)
         member.strain += gain * (share - member.strain)
         self.zone_strain[member.zone] = around + 0.2 * (share - around)
@@ -563,14 +575,14 @@
         key = (request.id, len(request.attempts))
         request.attempts.append(member)
         request.out[key[1]] = self.now
-        member.out[key] = (self.now, request)
+        member.out[key] = (self.now, request, member.answers + len(member.out) + OVERTAKEN)
         member.idle, member.used_at = self.now - member.used_at, self.now
         self.busy[member.id] = member
         if member.suspect:
             member.trial = key
             member.rest_until = self.now + member.rest
         else:
-            self.wake(self.silence_due(member))
+            self.wake(min(self.silence_due(member), self.now + self.overdue_after(member)))
         if self.idle_limit < member.idle < NEVER:
             self.actions.append(api.CloseIdle(member.id))
         self.actions.append(api.Send(request.id, member.id, 0.0))
@@ -654,14 +666,25 @@
         """When the answers that a member owes make its silence remarkable."""
         return member.silent_from() + max(2.0, SILENCE / len(member.out)) * self.typical
 
+    def overdue_after(self, member: Member) -> float:
+        """How long after its send a request is remarkable that a member has not answered, though others."""
+        return OVERDUE * max(self.typical, member.strain * self.aim)
+
     def look_for_silence(self, member: Member) -> None:
         """Help requests at a silent member; suspect it if others answered and its connection was in use."""
+        after = self.overdue_after(member)
+        for sent, request, lost_from in list(member.out.values()):
+            if self.now < sent + after:
+                self.wake(sent + after)
+                break
+            if member.answers >= lost_from:
+                self.hedge(request, lost=True)
         due = self.silence_due(member)
         if self.now < due:
             self.wake(due)
             return
         since = member.silent_from()
-        for _, request in list(member.out.values()):
+        for _, request, _ in list(member.out.values()):
             self.hedge(request)
         if len(member.out) == 1 and SILENCE * self.typical < member.idle < min(self.idle_limit, 1e9):
             self.idle_lost += 1  # twice with no such send answered between: connections are dropped unseen
@@ -700,11 +723,18 @@
             member.probing, member.probed_at = True, self.now
             self.actions.append(api.Probe(member.id))
 
-    def hedge(self, request: Request) -> None:
-        """A second copy of a safe read that waits too long, while the budget lasts."""
-        if request.done or request.hedged or request.cls.effect is not Effect.SAFE or self.budget < 1.0:
+    def hedge(self, request: Request, lost: bool = False) -> None:
+        """A second copy of a safe read that waits too long, while the budget lasts.
+
+        Of what was overtaken, a second copy where only the primary serves too: it does answer others.
+        """
+        cls, primary = request.cls, request.group.primary
+        if request.done or request.hedged or self.budget < 1.0:
             return
-        member = self.pick(request, HEDGE_ROOM)
+        if cls.effect is Effect.SAFE and cls.freshness is not Freshness.FRESH:
+            member = self.pick(request, HEDGE_ROOM)
+        else:
+            member = primary if lost and primary and self.may_send(primary, request, HEDGE_ROOM) else None
         if member is not None and not member.suspect and self.may_resend(request, member):
             request.hedged = True
             self.budget -= 1.0
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -237,6 +237,9 @@
     def close(self):
         self.closed += 1
 
+    def usable(self):
+        return True
+
 
 def pool_and_wires(front: Front) -> tuple[Pool, Wires]:
     wires = Wires()
--- /dev/null
+++ b/tests/test_lost.py
@@ -0,0 +1,89 @@
+"""Requests that a member takes and never answers, while it answers others: losses, not load."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from sedgepitch import interface as api
+from sedgepitch.interface import Result
+from tests.front import Front
+from tests.helpers import SETTINGS, Rig, finals, listing, sends
+from tests.test_engine import ask
+from tests.test_troubles import serve
+
+
+def answered_after(rig: Rig, name: str, count: int) -> None:
+    """Let that many later requests be answered in 20 ms each, by whoever they go to."""
+    serve(rig, name, count, {1: 0.02, 2: 0.02, 3: 0.02})
+
+
+def hang(rig: Rig, name: str) -> int:
+    """Ask for what is never answered."""
+    request, actions = rig.ask(name, ttl=0.6)
+    assert sends(actions, request) == [1]
+    return request
+
+
+def test_a_write_that_later_ones_overtook_is_sent_again_to_its_primary():
+    rig = Rig()
+    answered_after(rig, "write", 60)
+    request = hang(rig, "write")
+    answered_after(rig, "write", 12)
+    assert sends(rig.log, request) == [1, 1]
+
+
+def test_a_write_that_nobody_overtook_is_not_sent_again():
+    rig = Rig()
+    answered_after(rig, "write", 60)
+    request = hang(rig, "write")
+    rig.run(0.3)
+    assert sends(rig.log, request) == [1]
+
+
+def test_no_second_copy_of_what_may_not_be_repeated_or_where_none_is_allowed():
+    for settings, name in ((SETTINGS, "unsafe"), (replace(SETTINGS, second_copies=False), "write")):
+        rig = Rig(settings)
+        answered_after(rig, "write", 60)
+        request = hang(rig, name)
+        answered_after(rig, "write", 12)
+        assert sends(rig.log, request) == [1]
+
+
+def limit_after(rig: Rig, overtaken: bool) -> float:
+    """The primary's limit after every fourth request went without an answer."""
+    answered_after(rig, "write", 60)
+    for _ in range(30):
+        request, actions = rig.ask("unsafe", ttl=0.6)
+        if not sends(actions, request):
+            break  # there is no room any more
+        if overtaken:
+            answered_after(rig, "write", 8)
+        rig.run(0.6)
+        rig.feed(api.Finished(request, 0, 1, Result.TIMEOUT, 0.6, False))
+        assert finals(rig.log, request)
+    return rig.router.members[1].limit
+
+
+def test_time_outs_of_what_was_overtaken_cut_no_limit_and_those_of_what_waits_do():
+    members = (listing(1, primary=True),)
+    lost = limit_after(Rig(members=members), overtaken=True)
+    held = limit_after(Rig(members=members), overtaken=False)
+    assert lost >= 24.0 > held
+
+
+def test_an_attempt_of_an_answered_request_ends_with_the_clients_time():
+    front = Front()
+    for member in (2, 3):
+        front.engine.feed(api.Probed(member, Result.OK, 0.001, api.Report(front.clock.now(), False)))
+    _, got = ask(front, "map-read")
+    while len(front.members.sent) < 2 and front.clock.now() < 1000.95:
+        front.turn(0.01)
+    silent, quick = front.members.sent
+    quick.answer()
+    front.turn()
+    assert len(got) == 1 and not silent.abandoned
+    assert front.engine.ledger.accounts and front.engine.router.members[silent.member].out
+    front.turn(1.0)
+    assert silent.abandoned
+    assert not front.engine.ledger.accounts
+    assert not any(m.out for m in front.engine.router.members.values())
