Tests of the platform's front, members, discovery and node; what they found mended

Found by them: 300 silent connections kept a usual client out (the silent are now closed first); the id of a request refused at once was kept for ever; an answer could leave a tick after the client's time. The module forgets members that have been gone for twelve periods, and sessions where clients carry their marks.

--- a/sedgepitch/fleet/catalog.py
+++ b/sedgepitch/fleet/catalog.py
@@ -47,12 +47,12 @@
     return value
 
 
-def read_address(value: str, where: str) -> Address:
-    """Read `host:port`, an address and never a name; raises BadVersion."""
+def read_address(value: str, where: str, least: int = 1) -> Address:
+    """Read `host:port`, an address and never a name, no port below `least`; raises BadVersion."""
     host, colon, port = value.rpartition(":")
     parts = host.split(".")
     good = colon and len(parts) == 4 and all(p.isdigit() and len(p) < 4 and int(p) < 256 for p in parts)
-    if not good or not port.isdigit() or len(port) > 5 or not 0 < int(port) < 65536:
+    if not good or not port.isdigit() or len(port) > 5 or not least <= int(port) < 65536:
         raise BadVersion(f"{where}: not an address and a port")
     return host, int(port)
 
--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -25,7 +25,7 @@
 from sedgepitch.fronts.postgres.statements import BadStatement, Statement
 from sedgepitch.interface import Freshness, RequestClass
 
-ANSWER_MARGIN = 0.01  # s before the client's time is up at which its answer leaves
+ANSWER_MARGIN = 0.015  # s before the client's time is up at which its answer is decided; more than a tick
 READ_AHEAD = 64 * 1024  # bytes that a client may send ahead before its socket is left unread
 TALK_WITHIN = 2.0  # s for a client to introduce itself, or to end a message that it has begun
 TAKE_WITHIN = 5.0  # s for a client to take an answer
@@ -52,6 +52,7 @@
         self.open_ids: set[bytes] = set()
         self.connections: set[ClientConnection] = set()
         self.idle: OrderedDict[ClientConnection, None] = OrderedDict()  # least lately used first
+        self.silent: OrderedDict[ClientConnection, float] = OrderedDict()  # said nothing since
         self.talking: OrderedDict[ClientConnection, float] = OrderedDict()  # unfinished since
         self.clogged: OrderedDict[ClientConnection, float] = OrderedDict()
         self.accepted = self.bad_messages = self.bad_statements = self.timed_out = self.evicted = 0
@@ -59,17 +60,23 @@
         clock.call_later(LOOK_EVERY, self._look)
 
     def make_room(self) -> bool:
-        """Close the client that has been idle longest; False where none is."""
-        if not self.idle:
+        """Close a client; False where all are busy.
+
+        The one that has said nothing for longest goes first, then the one idle longest. Guards against
+        connections held by the hundreds; may hurt a usual client that is slow to say its first word.
+        """
+        table = self.silent or self.idle
+        if not table:
             return False
-        oldest, _ = self.idle.popitem(last=False)
+        oldest, _ = table.popitem(last=False)
         self.evicted += 1
         oldest.transport.abortConnection()
         return True
 
     def _look(self) -> None:
         now = self.clock.now()
-        for table, within in ((self.talking, TALK_WITHIN), (self.clogged, TAKE_WITHIN)):
+        bounds = ((self.silent, TALK_WITHIN), (self.talking, TALK_WITHIN), (self.clogged, TAKE_WITHIN))
+        for table, within in bounds:
             while table:
                 connection, since = next(iter(table.items()))
                 if now - since < within:
@@ -132,7 +139,7 @@
             return
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(_Outlet(self), True)
-        front.talking[self] = front.clock.now()
+        front.silent[self] = front.clock.now()
 
     def dataReceived(self, data: bytes) -> None:
         """Take bytes; while a statement is under way they only gather."""
@@ -148,6 +155,8 @@
             front.engine.waited(now - arrived, now)
         if not self.reader.held:
             self.since = arrived or front.clock.now()
+            if (came := front.silent.pop(self, None)) is not None:
+                front.talking[self] = came
         self.reader.feed(data)
         self.advance()
         if self.busy and self.reader.held > READ_AHEAD and not self.stopped:
@@ -206,8 +215,8 @@
         """Say the last thing, read on a little so that it arrives, and close."""
         front = self.front
         self.ending = True
-        front.idle.pop(self, None)
-        front.talking.pop(self, None)
+        for table in (front.idle, front.silent, front.talking):
+            table.pop(self, None)
         if last:
             self.transport.write(last)
         self.reader = Reader({})
@@ -226,7 +235,7 @@
         """The client has left."""
         front = self.front
         front.connections.discard(self)
-        for table in (front.idle, front.talking, front.clogged):
+        for table in (front.idle, front.silent, front.talking, front.clogged):
             table.pop(self, None)
         front.descriptors.client_left()
         if self.account is not None:
@@ -294,15 +303,18 @@
         front.idle.pop(self, None)
         front.talking.pop(self, None)
         front.open_ids.add(statement.id)
-        account = front.engine.submit(command, self._answered, arrived)
+
+        def answered(answer: Answer) -> None:
+            self.account = None
+            front.open_ids.discard(statement.id)
+            self._answer(answer)
+
+        account = front.engine.submit(command, answered, arrived)
         if account.open:
             self.account = account
 
-    def _answered(self, answer: Answer) -> None:
+    def _answer(self, answer: Answer) -> None:
         front = self.front
-        if self.account is not None:
-            front.open_ids.discard(self.account.command.payload.id)
-            self.account = None
         if answer.verdict is Verdict.SERVED:
             out = answer.reply + codec.READY
         elif answer.verdict is Verdict.REFUSED:
--- a/sedgepitch/fronts/postgres/statements.py
+++ b/sedgepitch/fronts/postgres/statements.py
@@ -51,7 +51,7 @@
 
     def text(self, now: float) -> bytes:
         """The statement as a member gets it, `d` being what is left of the time."""
-        return b"%b%d%b" % (self.head, max(1, int((self.until - now) * 1000.0)), self.tail)
+        return b"%b%d%b" % (self.head, max(1, round((self.until - now) * 1000.0)), self.tail)
 
 
 def read(statement: bytes, classes: Mapping[str, RequestClass]) -> Statement:
--- a/sedgepitch/node/config.py
+++ b/sedgepitch/node/config.py
@@ -66,7 +66,7 @@
     seed = raw.get("seed", "0")
     try:
         number = int(seed, 16) if isinstance(seed, str) else int(seed)
-        listen = read_address(told("listen", "RELAY_LISTEN"), "listen")
+        listen = read_address(told("listen", "RELAY_LISTEN"), "listen", least=0)
         discovery = read_address(told("discovery", "RELAY_DISCOVERY"), "discovery")
         known = None if raw.get("known") is None else read_version(raw["known"], wall, "known")
         translated = translate_settings(settings)
--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -45,6 +45,7 @@
 BUDGET = (0.15, 5.0)  # resends and second copies: earned by each request, and kept at most
 PATROL = 4.0  # looks at waiting requests within the shortest aim
 KEEP_WARM = 0.5  # s; a driver spreads over as many members as it would use this often each, two at least
+FORGET_GONE = 12  # periods after which a member that is gone is forgotten
 FORGET_IDLE = 1.5  # growth, each period, of the idle time after which a connection is taken for lost
 NEVER = float("inf")
 GOLDEN = 0.618034  # spreads one request's luck over the members
@@ -73,7 +74,7 @@
         self.trial, self.good_trials = None, 0
         self.limit, self.limit_at = start_limit, -NEVER  # own requests in flight
         self.strain, self.cold_from = 0.0, -NEVER
-        self.answers = 0
+        self.answers = self.gone_for = 0
         self.load, self.load_at = 0.0, -NEVER  # as it reported
         self.dead = False  # a probe has failed since it was lost
         self.probing, self.probed_at = False, -NEVER
@@ -254,7 +255,8 @@
         group = self.groups[member.group]
         self.learn(member, group, event, request, lost_from)
         request.out.pop(event.attempt)
-        if event.result is Result.OK and request.cls.freshness is Freshness.WRITE and event.position:
+        remembered = self.settings.marks is Marks.REMEMBERED and event.result is Result.OK
+        if remembered and request.cls.freshness is Freshness.WRITE and event.position:
             group.sessions[request.session] = max(group.sessions.get(request.session, 0.0), event.position)
         if group.waiting:
             self.place_waiting(group)
@@ -661,6 +663,18 @@
             floor = min((m.position for m in group.order if m.state is State.UP), default=-NEVER)
             group.session_floor = max(group.session_floor, floor)
             group.sessions = {k: v for k, v in group.sessions.items() if v + POSITION_SLACK > floor}
+        for member in list(self.members.values()):
+            member.gone_for = member.gone_for + 1 if member.state is State.GONE else 0
+            if member.gone_for > FORGET_GONE and not member.out:
+                self.forget(member)
+
+    def forget(self, member: Member) -> None:
+        """Nothing is known any more of a member that has long been gone: ids that come back are rare."""
+        group = self.groups[member.group]
+        group.order.remove(member)
+        group.suspects.pop(member.id, None)
+        group.primary = None if group.primary is member else group.primary
+        del self.members[member.id]
 
     def silence_due(self, member: Member) -> float:
         """When the answers that a member owes make its silence remarkable."""
--- /dev/null
+++ b/tests/pg.py
@@ -0,0 +1,120 @@
+"""The platform's front and members without sockets for the tests: string transports and a fake clock."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from sedgepitch import interface as api
+from sedgepitch.core.clock import FakeClock
+from sedgepitch.core.engine import Engine
+from sedgepitch.core.types import AttemptEnd
+from sedgepitch.decide.descriptors import Descriptors
+from sedgepitch.fronts.postgres import codec
+from sedgepitch.fronts.postgres.client import ClientConnection, Front
+from sedgepitch.fronts.postgres.codec import Reader
+from sedgepitch.policy import Router
+from tests.front import PlayedMembers
+from tests.helpers import SETTINGS, listing
+
+WALL = 1_000_000.0  # s that Unix time is ahead of the tests' clock
+
+
+class Wire(StringTransport):
+    """A transport that notes how it ends."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.aborted = self.half_closed = False
+        self.arrived = 0.0
+        self.paused_reads = 0
+
+    def setTcpNoDelay(self, on: bool) -> None:
+        pass
+
+    def abortConnection(self) -> None:
+        self.aborted = True
+
+    def loseWriteConnection(self) -> None:
+        self.half_closed = True
+
+    def unsent(self) -> int:
+        return 0
+
+
+def messages(data: bytes, bounds: Any = None) -> list[tuple[bytes, bytes]]:
+    """What a wire carries, cut into messages."""
+    reader, found = Reader(bounds or codec.FROM_MEMBER), []
+    reader.feed(data)
+    while (one := reader.next()) is not None:
+        found.append(one)
+    return found
+
+
+def errors(wire: StringTransport) -> list[dict[str, str]]:
+    """The errors that a client was sent."""
+    return [codec.read_error(raw) for kind, raw in messages(wire.value()) if kind == b"E"]
+
+
+def read(number: int, name: str = "any", d: str = "500", **fields: Any) -> bytes:
+    """A client's read as a message."""
+    told = "".join(f",{k}={v}" for k, v in fields.items())
+    comment = f"id={number:x},c={name},d={d},cluster=1{told}"
+    return codec.query(f"SELECT payload FROM entries WHERE ref = '7f3a' /* {comment} */".encode())
+
+
+def write(number: int, d: str = "500") -> bytes:
+    """A client's write as a message."""
+    return codec.query(
+        b"INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x9f03') RETURNING payload "
+        b"/* id=%x,c=write,d=%b,k=5c0f,cluster=1 */" % (number, d.encode())
+    )
+
+
+ROW = codec.row_description() + codec.data_row(b"value") + codec.complete("SELECT 1")
+
+
+class Stage:
+    """A front over one engine with three members (1 is the primary), played by the test."""
+
+    def __init__(self, settings: api.Settings = SETTINGS, sockets: int = 0) -> None:
+        self.task = Clock()
+        self.task.advance(1000.0)
+        self.clock = FakeClock(self.task)
+        self.members = PlayedMembers()
+        self.engine = Engine(Router(settings, 1), self.members, self.clock)
+        entries = (listing(1, primary=True), listing(2), listing(3))
+        self.engine.list_changed(api.Members(entries, complete=True))
+        self.descriptors = Descriptors(sockets)
+        self.front = Front(self.engine, self.clock, self.engine.classes, WALL, self.descriptors)
+        self.clients = 0
+
+    def client(self, greet: bool = True) -> tuple[ClientConnection, Wire]:
+        """A client's connection, past its startup unless told otherwise."""
+        self.clients += 1
+        connection, wire = ClientConnection(self.front, self.clients), Wire()
+        connection.makeConnection(wire)
+        if greet:
+            connection.dataReceived(codec.startup("web", "orders"))
+            wire.clear()
+        return connection, wire
+
+    def turn(self, seconds: float = 0.0, times: int = 4) -> None:
+        """Let a few turns of the reactor pass, the first after that many seconds."""
+        self.task.advance(seconds)
+        for _ in range(times):
+            self.task.advance(0.0)
+
+    def pass_by(self, seconds: float, step: float = 0.05) -> None:
+        """Let time pass in steps, as it does."""
+        for _ in range(round(seconds / step)):
+            self.turn(step, 1)
+
+    def answer(self, index: int = -1, **fields: Any) -> None:
+        """Let a member answer an attempt."""
+        result = fields.pop("result", api.Result.OK)
+        reply = ROW if result is api.Result.OK else None
+        self.members.sent[index].on_end(AttemptEnd(result, reply, **fields))
+        self.turn()
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -87,3 +87,20 @@
     assert silent.abandoned
     assert not front.engine.ledger.accounts
     assert not any(m.out for m in front.engine.router.members.values())
+
+
+def test_a_member_long_gone_is_forgotten_and_sessions_are_kept_only_where_they_are_needed():
+    rig = Rig()
+    answered_after(rig, "write", 60)
+    rig.end(rig.ask("write", session="s")[0], 0, 1, Result.OK, position=rig.now)
+    assert not rig.router.groups[1].sessions
+    rig.feed(api.Members((listing(1, primary=True), listing(2)), complete=True))
+    for _ in range(10):
+        answered_after(rig, "write", 60)
+        rig.run(6.0)
+    assert set(rig.router.members) == {1, 2, 3}, "it may come back"
+    for _ in range(10):
+        answered_after(rig, "write", 60)
+        rig.run(6.0)
+    assert set(rig.router.members) == {1, 2} and len(rig.router.groups[1].order) == 2
+    answered_after(rig, "any", 20)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,145 @@
+"""The list of members: versions, numbers for names, what is forgotten, and the account of descriptors."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sedgepitch.decide.descriptors import Descriptors
+from sedgepitch.decide.membership import Entry, Membership, Version
+from sedgepitch.fleet.catalog import BadVersion, read_version
+from sedgepitch.interface import State
+
+
+def entry(name: str, state: State = State.UP, port: int = 1) -> Entry:
+    return Entry(name, ("127.0.0.1", port), "a", 1, state, 1.0, 0.0, False)
+
+
+def version(revision: int, complete: bool, *entries: Entry) -> Version:
+    return Version(revision, complete, entries)
+
+
+def test_changes_count_once_and_a_whole_list_always():
+    held = Membership()
+    assert held.take(version(5, True, entry("a"))).complete
+    assert held.take(version(5, False, entry("b"))) is None
+    assert held.take(version(6, False, entry("b"))) is not None
+    assert held.take(version(2, True, entry("c"))) is not None, "a source that lost its memory"
+    assert held.revision == 2 and len(held.present) == 1
+
+
+def test_a_remembered_list_gives_members_but_no_version():
+    held = Membership()
+    assert held.take(version(41, True, entry("a")), remembered=True).remembered
+    assert held.revision == 0
+
+
+def test_a_name_keeps_its_number_and_takes_its_new_address():
+    held, other = Membership(), Membership()
+    first = held.take(version(1, True, entry("a", port=1))).listings[0].member
+    again = held.take(version(2, False, entry("a", port=2))).listings[0].member
+    assert first == again == other.take(version(9, True, entry("a"))).listings[0].member
+    assert held.addresses[first] == ("127.0.0.1", 2)
+
+
+def test_what_is_gone_is_forgotten_and_what_is_listed_is_not():
+    held = Membership()
+    number = held.take(version(1, True, entry("a"))).listings[0].member
+    held.forget(number)
+    assert number in held.names
+    held.take(version(2, False, entry("a", State.GONE)))
+    held.forget(number)
+    assert not (held.names or held.numbers or held.addresses or held.present)
+
+
+def test_a_hundred_thousand_names_leave_nothing_behind():
+    held = Membership()
+    for n in range(100_000):
+        told = held.take(version(2 * n + 1, False, entry(f"s-{n}")))
+        held.take(version(2 * n + 2, False, entry(f"s-{n}", State.GONE)))
+        held.forget(told.listings[0].member)
+    assert not (held.names or held.numbers or held.addresses or held.present)
+
+
+GOOD = {
+    "revision": 43,
+    "complete": False,
+    "members": [
+        {
+            "id": "s-5be2",
+            "host_port": "127.1.0.18:6432",
+            "locality": "a",
+            "cell": 3,
+            "phase": "draining",
+            "size": 1.5,
+            "up_since_ms": 1001000500,
+            "access": "writer",
+        }
+    ],
+}
+
+
+def test_an_object_is_read_into_the_drivers_units():
+    told = read_version(GOOD, wall=1_000_000.0)
+    (one,) = told.entries
+    assert (told.revision, told.complete) == (43, False)
+    assert (one.name, one.address, one.state) == ("s-5be2", ("127.1.0.18", 6432), State.DRAINING)
+    assert (one.group, one.size, one.primary) == (3, 1.5, True)
+    assert one.started == pytest.approx(1000.5)
+
+
+def broken(**changes):
+    return {**GOOD, "members": [{**GOOD["members"][0], **changes}]}
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        [],
+        {},
+        {**GOOD, "revision": "x"},
+        {**GOOD, "revision": True},
+        {**GOOD, "members": {}},
+        {**GOOD, "members": [3]},
+        broken(id=5),
+        broken(phase="odd"),
+        broken(host_port="db.example:1"),
+        broken(host_port="127.0.0.1:99999"),
+        broken(host_port="127.0.0.1"),
+        broken(size="big"),
+        broken(up_since_ms=float("inf")),
+        broken(cell=None),
+    ],
+)
+def test_what_is_no_list_is_an_error_that_names_the_place(raw):
+    with pytest.raises(BadVersion, match="discovery"):
+        read_version(raw, 0.0)
+
+
+@given(
+    st.recursive(
+        st.none() | st.booleans() | st.floats() | st.text(max_size=9),
+        lambda c: st.lists(c)
+        | st.dictionaries(
+            st.sampled_from(["revision", "complete", "members", "id", "host_port", "phase"]), c
+        ),
+    )
+)
+def test_any_json_is_a_list_or_an_error(raw):
+    try:
+        read_version(json.loads(json.dumps(raw)), 0.0)
+    except BadVersion:
+        pass
+
+
+def test_clients_cannot_take_the_room_that_members_need():
+    account = Descriptors(256)
+    came = [account.client_came() for _ in range(500)]
+    assert came.count(True) == account.clients_most
+    assert [account.take() for _ in range(500)].count(True) == account.members_most
+    assert account.clients_most + account.members_most < 256 and account.refused
+    account.give()
+    assert account.take()
--- /dev/null
+++ b/tests/test_pg_client.py
@@ -0,0 +1,227 @@
+"""The clients' side of the platform's protocol: usual clients are served, bad ones answered or closed."""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import replace
+
+import pytest
+
+from sedgepitch.fronts.postgres import client, codec
+from sedgepitch.interface import Result
+from tests.helpers import SETTINGS
+from tests.pg import ROW, WALL, Stage, errors, messages, read, write
+
+
+def test_a_client_is_welcomed_and_an_empty_query_answered():
+    stage = Stage()
+    connection, wire = stage.client(greet=False)
+    connection.dataReceived(struct.pack("!ii", 8, codec.SSL))
+    assert wire.value() == b"N"
+    wire.clear()
+    connection.dataReceived(codec.startup("web", "orders") + codec.query(b""))
+    assert [k for k, _ in messages(wire.value())][-3:] == [b"Z", b"I", b"Z"]
+
+
+def test_a_read_is_served_with_the_value_as_the_member_gave_it():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(read(1))
+    stage.turn()
+    stage.answer()
+    assert wire.value() == ROW + codec.READY
+    assert not stage.front.open_ids
+
+
+def test_what_a_member_gets_says_how_long_the_driver_waits():
+    stage = Stage()
+    connection, _ = stage.client()
+    stage.task.advance(1.0)
+    connection.transport.arrived = stage.clock.now() - 0.1  # the bytes waited that long to be read
+    connection.dataReceived(read(1, d="500"))
+    stage.turn()
+    payload = stage.members.sent[0].payload
+    assert payload.text(stage.clock.now()) == read(1, d="400")[5:-1]
+
+
+def test_refused_with_a_time_to_come_back_where_settings_allow_it():
+    for settings, told in ((SETTINGS, True), (replace(SETTINGS, come_back=False), False)):
+        stage = Stage(settings)
+        connection, wire = stage.client()
+        connection.dataReceived(read(1, d="400"))
+        stage.turn()
+        stage.answer(result=Result.TIMEOUT)
+        while not errors(wire):
+            stage.turn(0.005, 1)
+        (error,) = errors(wire)
+        assert error["C"] == "53300"
+        assert ("D" in error) is told
+
+
+def test_a_write_that_may_have_run_fails():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(write(1))
+    stage.turn()
+    stage.pass_by(0.6)
+    (error,) = errors(wire)
+    assert error["C"] == client.FAILED
+
+
+def test_every_answer_leaves_within_the_clients_time():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(read(1, d="300"))
+    stage.turn()
+    for _ in range(29):
+        stage.turn(0.01, 1)
+    stage.turn(0.009)
+    assert len(errors(wire)) == 1
+
+
+def test_the_age_of_a_sessions_write_comes_from_its_position():
+    stage = Stage()
+    seen = []
+    stage.engine.submit = lambda command, answered, arrived: seen.append(command) or type(
+        "A", (), {"open": False}
+    )
+    connection, _ = stage.client()
+    after = int((stage.clock.now() + WALL - 2.5) * 1000)
+    connection.dataReceived(read(1, "session", after=after))
+    assert seen[0].session_age == pytest.approx(2.5, abs=0.002)
+
+
+def test_one_statement_at_a_time_and_the_next_counts_from_its_turn():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(read(1) + read(2) + read(3))
+    for count in (1, 2, 3):
+        stage.turn()
+        assert len(stage.members.sent) == count
+        stage.turn(0.1)
+        stage.answer()
+    assert wire.value() == 3 * (ROW + codec.READY)
+
+
+def test_the_id_of_an_open_request_is_turned_away_and_the_open_one_served():
+    stage = Stage()
+    first, first_wire = stage.client()
+    second, second_wire = stage.client()
+    first.dataReceived(read(1))
+    second.dataReceived(read(1))
+    stage.turn()
+    assert len(errors(second_wire)) == 1 and len(stage.members.sent) == 1
+    stage.answer()
+    assert first_wire.value() == ROW + codec.READY
+    second.dataReceived(read(1))
+    stage.turn()
+    assert len(stage.members.sent) == 2
+
+
+BAD_BYTES = [
+    b"\0\0\0\0garbage",
+    b"GET / HTTP/1.1\r\n\r\n",
+    struct.pack("!ii", 2**31 - 1, 196608),
+    struct.pack("!ii", 8, codec.CANCEL),
+    struct.pack("!ii", 12, 196608) + b"user",
+    codec.startup("web", "orders") + struct.pack("!ci", b"Q", 60_000_000) + b"x" * 1000,
+    codec.startup("web", "orders") + struct.pack("!ci", b"Q", -5),
+    codec.startup("web", "orders") + codec.message(b"P", b"\0select 1\0\0\0"),
+    codec.startup("web", "orders") + b"\xff" * 64,
+    codec.startup("web", "orders") + codec.message(b"Q", b"no end"),
+]
+
+
+@pytest.mark.parametrize("data", BAD_BYTES)
+def test_what_cannot_be_read_is_an_error_or_a_close_at_once(data):
+    stage = Stage()
+    connection, wire = stage.client(greet=False)
+    connection.dataReceived(data)
+    stage.turn()
+    assert wire.half_closed
+    connection.dataReceived(b"y" * 100)  # what still comes is dropped
+    stage.pass_by(1.0)
+    assert wire.aborted and not stage.members.sent
+
+
+def test_a_flood_behind_an_error_is_cut_off():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(struct.pack("!ci", b"Q", 60_000_000))
+    for _ in range(10):
+        connection.dataReceived(b"z" * 65536)
+    assert wire.aborted
+
+
+def test_hundreds_of_bad_commands_are_each_an_error_and_keep_nobody_waiting():
+    stage = Stage()
+    bad, bad_wire = stage.client()
+    good, good_wire = stage.client()
+    bad.dataReceived(300 * codec.query(b"DROP TABLE entries"))
+    good.dataReceived(read(1))
+    assert len(errors(bad_wire)) == 1, "the rest waits for later turns"
+    stage.turn()
+    assert len(stage.members.sent) == 1
+    assert len(errors(bad_wire)) == 300
+    stage.answer()
+    assert good_wire.value() == ROW + codec.READY
+
+
+def test_silent_and_half_spoken_connections_are_closed_in_time_and_idle_ones_stay():
+    stage = Stage()
+    _, silent = stage.client(greet=False)
+    half, half_wire = stage.client()
+    _, idle = stage.client()
+    half.dataReceived(read(1)[:-5])
+    for _ in range(25):  # a byte now and then does not help
+        stage.pass_by(0.1)
+        half.dataReceived(b" ")
+    assert silent.half_closed and half_wire.half_closed
+    assert not idle.half_closed and not idle.aborted
+    assert not stage.members.sent
+
+
+def test_a_client_that_leaves_is_forgotten():
+    stage = Stage()
+    connection, _ = stage.client()
+    connection.dataReceived(read(1))
+    stage.turn()
+    connection.connectionLost()
+    stage.answer()
+    front = stage.front
+    assert not (front.open_ids or front.connections or front.idle or front.talking)
+    assert not stage.engine.ledger.accounts and stage.descriptors.clients == 0
+
+
+def test_the_longest_idle_client_goes_when_room_is_needed():
+    stage = Stage(sockets=40)
+    most = stage.descriptors.clients_most
+    held = [stage.client() for _ in range(most)]
+    held[0][0].dataReceived(read(1))  # busy: it stays
+    stage.turn()
+    stage.client()
+    assert [wire.aborted for _, wire in held[:3]] == [False, True, False]
+
+
+def test_who_does_not_take_an_answer_is_closed():
+    stage = Stage()
+    connection, wire = stage.client()
+    wire.producer.pauseProducing()
+    connection.dataReceived(read(1))
+    stage.turn()
+    assert not stage.members.sent
+    stage.pass_by(client.TAKE_WITHIN + 1.0)
+    assert wire.aborted
+
+
+def test_a_client_that_sends_ahead_is_left_unread():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(read(1))
+    stage.turn()
+    for number in range(2, 2000):
+        if wire.producerState != "producing":
+            break
+        connection.dataReceived(read(number))
+    assert connection.reader.held < 2 * client.READ_AHEAD
+    assert wire.producerState == "paused"
--- /dev/null
+++ b/tests/test_pg_codec.py
@@ -0,0 +1,167 @@
+"""The platform's protocol without sockets: messages, statements, and what is no such thing."""
+
+from __future__ import annotations
+
+import struct
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sedgepitch.fronts.postgres import codec, statements
+from sedgepitch.fronts.postgres.codec import BadMessage, Reader
+from sedgepitch.fronts.postgres.statements import BadStatement
+from tests.helpers import CLASSES
+
+NAMED = {c.name: c for c in CLASSES}
+READ = (
+    b"SELECT payload FROM entries WHERE ref = '7f3a' "
+    b"/* id=9b1f,c=session,d=480,cluster=2,after=1767225600123 */"
+)
+WRITE = (
+    b"INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x9f03') RETURNING payload "
+    b"/* id=9b1f,c=write,d=480.5,k=5c0f,cluster=2 */"
+)
+
+
+def whole(reader: Reader) -> list[tuple[bytes, bytes]]:
+    found = []
+    while (one := reader.next()) is not None:
+        found.append(one)
+    return found
+
+
+@given(
+    st.lists(
+        st.sampled_from([codec.READY, codec.data_row(b"x" * 300), codec.complete("SELECT 1")]), max_size=6
+    ),
+    st.lists(st.integers(1, 40), max_size=30),
+)
+def test_messages_are_the_same_in_whatever_pieces_they_come(messages, cuts):
+    stream, reader, got = b"".join(messages), Reader(codec.FROM_MEMBER), []
+    for size in [*cuts, len(stream) + 1]:
+        piece, stream = stream[:size], stream[size:]
+        if piece:
+            reader.feed(piece)
+            got += whole(reader)
+    assert [raw for _, raw in got] == messages
+    assert not reader.held
+
+
+@given(st.binary(max_size=200), st.sampled_from([codec.FROM_CLIENT, codec.FROM_MEMBER]))
+def test_any_bytes_are_messages_or_one_error(data, bounds):
+    reader = Reader(bounds)
+    reader.feed(data)
+    try:
+        whole(reader)
+    except BadMessage as error:
+        assert "\n" not in str(error)
+
+
+@given(st.binary(max_size=80))
+def test_any_first_bytes_are_a_startup_or_one_error(data):
+    reader = Reader(codec.FROM_CLIENT)
+    reader.feed(data)
+    try:
+        found = reader.startup()
+        if found is not None and found[0] not in (codec.SSL, codec.GSS, codec.CANCEL):
+            codec.startup_parameters(found[1])
+    except BadMessage:
+        pass
+
+
+@pytest.mark.parametrize("length", [-1, 0, 3, codec.STATEMENT + 1, 60_000_000, 2**31 - 1, -(2**31)])
+def test_a_length_is_judged_on_its_header(length):
+    reader = Reader(codec.FROM_CLIENT)
+    reader.feed(struct.pack("!ci", b"Q", length))
+    with pytest.raises(BadMessage):
+        reader.next()
+
+
+def test_a_startup_is_read_and_one_of_another_protocol_is_not():
+    reader = Reader(codec.FROM_CLIENT)
+    reader.feed(codec.startup("web", "orders") + codec.query(b""))
+    code, body = reader.startup()
+    assert code == codec.VERSION << 16
+    assert codec.startup_parameters(body) == {"user": "web", "database": "orders"}
+    assert reader.next() == (b"Q", codec.query(b""))
+    reader = Reader(codec.FROM_CLIENT)
+    reader.feed(struct.pack("!ii", 8, 2 << 16))
+    with pytest.raises(BadMessage):
+        reader.startup()
+
+
+def test_an_error_says_what_it_was_told():
+    fields = codec.read_error(codec.error("53300", "no room", "250"))
+    assert (fields["C"], fields["D"], fields["S"]) == ("53300", "250", "ERROR")
+
+
+def test_rows_of_one_value_only():
+    assert codec.one_value(codec.data_row(b"abc")) == b"abc"
+    two = codec.message(b"D", b"\0\2" + 2 * (struct.pack("!i", 1) + b"x"))
+    lying = codec.message(b"D", b"\0\1" + struct.pack("!i", 3_000_000_000 - 2**32) + b"x")
+    assert codec.one_value(two) is codec.one_value(lying) is None
+    assert codec.columns(codec.row_description()) == 1
+    assert codec.columns(codec.message(b"T", b"\0\1payload")) == -1
+
+
+def test_the_two_statements_are_read():
+    read = statements.read(READ, NAMED)
+    assert (read.id, read.cls.name, read.writes, read.group) == (b"9b1f", "session", False, 2)
+    assert (read.session, read.after, read.time_left) == ("7f3a", 1767225600123, 0.48)
+    write = statements.read(WRITE, NAMED)
+    assert (write.writes, write.time_left) == (True, 0.4805)
+
+
+def test_only_d_is_made_anew():
+    for raw, d in ((READ, b"d=480"), (WRITE, b"d=480.5")):
+        statement = statements.read(raw, NAMED)
+        statement.until = 10.1234
+        assert statement.text(10.0) == raw.replace(d, b"d=123")
+        assert statement.text(11.0) == raw.replace(d, b"d=1"), "never a time that is over"
+
+
+BAD = [
+    b"SELECT 1",
+    READ + b";",
+    READ[:-3],
+    READ.replace(b"entries", b"other"),
+    READ.replace(b"'7f3a'", b"'7f3a' OR 1=1"),
+    READ.replace(b"7f3a", b"7f'3a"),
+    READ.replace(b"id=9b1f,", b""),
+    READ.replace(b"id=9b1f", b"id="),
+    READ.replace(b"c=session", b"c=nothing"),
+    READ.replace(b"c=session", b"c=write"),
+    READ.replace(b"d=480", b"d=480,d=480"),
+    READ.replace(b"cluster=2", b"cluster=x"),
+    READ.replace(b"cluster=2", b"cluster=99999999999"),
+    READ.replace(b"after=1767225600123", b"after=-5"),
+    READ.replace(b",cluster=2", b",k=5c0f,cluster=2"),
+    READ.replace(b",cluster=2", b",surprise=2"),
+    WRITE.replace(b",k=5c0f", b""),
+    WRITE.replace(b"\\x9f03", b"\\x9f0"),
+    WRITE.replace(b"\\x9f03", b"plain"),
+    READ.replace(b"480", b"\xff\xfe"),
+    *[
+        READ.replace(b"d=480", b"d=" + d)
+        for d in (b"nan", b"inf", b"-1", b"0", b"1e9", b"1" + 400 * b"0", b"")
+    ],
+]
+
+
+@pytest.mark.parametrize("raw", BAD)
+def test_anything_else_is_one_clear_error(raw):
+    with pytest.raises(BadStatement) as error:
+        statements.read(raw, NAMED)
+    assert str(error.value) and "\n" not in str(error.value)
+
+
+@given(st.binary(max_size=120), st.integers(0, 150))
+def test_damage_in_a_statement_is_an_error_or_still_the_statement(noise, at):
+    raw = READ[:at] + noise + READ[at:]
+    try:
+        statement = statements.read(raw, NAMED)
+    except BadStatement:
+        return
+    statement.until = 1.0
+    assert statement.text(0.0).replace(b"d=1000", b"d=", 1).startswith(statement.head)
