One broken connection is not a member down, nor one failed connect a full table

Checked by beliefs twice a second: each reset rested its member as down for 0.5 to 4 s; each failed connect set its limit to 3/4 of what was under way (17.8 -> 0.9). Ruled out: descriptors, stale reports, budget. Lines at fault: learn(), which took the end of a connection for the end of a process, and one failed connect for a full table. Now a break asks the member by a probe; three in a row without an answer (attempts or probes) show it down; a limit is cut from the second failed connect within about ten answers.

--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -27,6 +27,7 @@
 STILL_COMING = 0.5  # s after the signal to stop in which new connections still come
 IDLE_CLOSED_AFTER = 0.6  # s after it from which connections without a request are closed
 STOP_LOOK = 0.05
+TRACE_EVERY = 0.5  # s between them where the trace is on
 REPORT_EVERY = 5.0  # s between lines about the driver itself
 
 
@@ -83,7 +84,7 @@
         host, port = self.config.listen
         self.port = transport.listen(self.reactor, port, ClientFactory(self.front), host, BACKLOG)
         self.port.numberAccepts = ACCEPTS
-        self.clock.call_later(REPORT_EVERY, self._report)
+        self.clock.call_later(TRACE_EVERY if self.lines.tracing else REPORT_EVERY, self._report)
         config = self.config
         self.lines.say(
             "listening",
@@ -217,6 +218,7 @@
             words.append(
                 f"{self.membership.names.get(member.id, member.id)}:{member.state.value}/{role}"
                 f"/{member.suspect or 'good'}/out{len(member.out)}/lanes{lanes[0]}-{lanes[1]}"
+                f"/breaks{member.breaks}/rest{max(0.0, member.rest_until - now):.1f}"
                 f"/limit{member.limit:.1f}/strain{member.strain:.2f}/load{member.load:.0f}"
                 f"/lag{min(99.0, now - member.position):.2f}"
             )
@@ -225,4 +227,4 @@
     def _report(self) -> None:
         self.lines.say("state", **self.figures())
         self.lines.say("beliefs", members=self.beliefs())
-        self.clock.call_later(REPORT_EVERY, self._report)
+        self.clock.call_later(TRACE_EVERY if self.lines.tracing else REPORT_EVERY, self._report)
--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -24,6 +24,8 @@
 ASK_MOST = 2  # replicas that a read may ask for their position before it is placed
 PROBE_GAP = 0.25  # least time between two probes of a member, as a share of that bound
 # Health.
+BREAKS = 3  # connections in a row that break, with no answer between, which show that a member is down
+FADE, ONE_IN = 0.9, 1.2  # the weight of each after one more answer; more than that is a full table
 SILENCE = 8.0  # answers that a member should have given meanwhile, judged by its peers' latency
 OVERTAKEN = 4  # answers to requests sent later that show one as lost on its way, not as waiting its turn
 OVERDUE = 4.0  # times the mean answer after which one so overtaken gets a second copy
@@ -50,6 +52,7 @@
 NEVER = float("inf")
 GOLDEN = 0.618034  # spreads one request's luck over the members
 
+DEAD = (Result.CONNECT_FAILED, Result.RESET)  # what a process that does not run answers
 NEVER_RAN = (Result.FULL, Result.CONNECT_FAILED, Result.NOT_SENT, Result.MISS)
 
 
@@ -74,7 +77,8 @@
         self.trial, self.good_trials = None, 0
         self.limit, self.limit_at = start_limit, -NEVER  # own requests in flight
         self.strain, self.cold_from = 0.0, -NEVER
-        self.answers = self.gone_for = 0
+        self.answers = self.breaks = self.gone_for = 0
+        self.unreached = 0.0  # connections of late that did not come about
         self.load, self.load_at = 0.0, -NEVER  # as it reported
         self.dead = False  # a probe has failed since it was lost
         self.probing, self.probed_at = False, -NEVER
@@ -284,7 +288,8 @@
         gain = min(0.5, max(0.1, (now - member.last_answer) / PERIOD))  # few answers weigh more each
         answered = result in (Result.OK, Result.ERROR, Result.FULL, Result.MISS)
         if answered:
-            member.last_answer = self.heard_at = now
+            member.last_answer, member.breaks = now, 0
+            self.heard_at = now
             if result is not Result.ERROR:
                 self.on_good(member, key, gain)
             elif cls.freshness is not Freshness.WRITE:
@@ -293,10 +298,14 @@
             while request.served and request.erred:  # an error is a member's if all went well elsewhere
                 self.blame(request.erred.pop())
         elif result is Result.CONNECT_FAILED and member.out and now - member.last_answer < REST[0]:
-            member.limit = max(LIMIT[0], len(member.out) * BACK_OFF)  # a full table, not a dead process
+            member.unreached += 1.0
+            if member.unreached > ONE_IN:
+                member.limit = max(LIMIT[0], len(member.out) * BACK_OFF)  # a full table, not a dead process
         elif result in (Result.CONNECT_FAILED, Result.RESET):
-            if member.trial == key or not member.suspect:
+            if member.trial == key:
                 self.distrust(member, "down")
+            elif not member.suspect:
+                self.broke(member, result)
         elif result is Result.TIMEOUT and member.trial == key:
             self.distrust(member, "silent")
         if member.trial == key:
@@ -306,6 +315,7 @@
         share = 1.5 if result is Result.FULL else min(1.5, event.elapsed / cls.aim)
         if result is Result.OK:
             member.answers += 1
+            member.unreached *= FADE
         elif result is Result.TIMEOUT and member.answers >= lost_from:
             return  # those sent later were answered, so the member is not too busy
         late = result is not Result.OK or event.elapsed > LATE * cls.aim
@@ -339,6 +349,14 @@
             member.suspect, member.failing, member.trial, member.rest = "", 0.0, None, REST[0]
             del self.groups[member.group].suspects[member.id]
 
+    def broke(self, member: Member, result: Result) -> None:
+        """A connection's end is not a member's: ask it, and see whether the next ones break as well."""
+        member.breaks = member.breaks + 1 if result in DEAD else 0
+        if member.breaks >= BREAKS:
+            self.distrust(member, "down")
+        elif member.breaks:
+            self.probe(member)
+
     def blame(self, member: Member) -> None:
         """One more error that was the member's own, not the request's."""
         member.failing += 0.15 * (1.0 - member.failing)
@@ -378,8 +396,10 @@
                 member.cold_from = max(member.cold_from, self.now)  # it was dead, so it has restarted
             member.suspect, member.rest_until = "silent", self.now
         elif member.suspect == "down":
-            member.dead = True
             self.distrust(member, "down")
+            member.dead = True
+        elif member.breaks and not member.suspect:
+            self.broke(member, event.result)
         if group.waiting:
             self.place_waiting(group)
         if group.suspects and group.last is not None:
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -104,3 +104,46 @@
         rig.run(6.0)
     assert set(rig.router.members) == {1, 2} and len(rig.router.groups[1].order) == 2
     answered_after(rig, "any", 20)
+
+
+def test_one_broken_connection_asks_the_member_and_three_in_a_row_show_it_down():
+    rig = Rig()
+    answered_after(rig, "write", 60)
+    first = rig.ask("write")[0]
+    actions = rig.end(first, 0, 1, Result.RESET)
+    assert api.Probe(1) in actions and not rig.router.members[1].suspect
+    assert sends(rig.log, first) == [1, 1], "it may be repeated, and the member is there"
+    rig.end(first, 1, 1, Result.RESET)
+    rig.end(first, 2, 1, Result.RESET)
+    assert rig.router.members[1].suspect == "down"
+
+
+def test_an_answer_between_two_breaks_starts_the_count_anew():
+    rig = Rig()
+    answered_after(rig, "write", 60)
+    for _ in range(6):
+        rig.end(rig.ask("write")[0], 0, 1, Result.CONNECT_FAILED)
+        answered_after(rig, "write", 12)
+        assert not rig.router.members[1].suspect
+
+
+def test_a_process_that_does_not_run_is_known_by_its_probes():
+    rig = Rig()
+    answered_after(rig, "write", 60)
+    rig.end(rig.ask("unsafe")[0], 0, 1, Result.RESET)
+    probes = 0
+    while not rig.router.members[1].suspect and probes < 5:
+        probes += 1
+        rig.feed(api.Probed(1, Result.CONNECT_FAILED, 0.001))
+    assert rig.router.members[1].suspect == "down" and probes == 2
+
+
+def test_one_connection_that_does_not_come_about_is_no_full_table_and_several_are():
+    rig = Rig()
+    answered_after(rig, "write", 60)
+    held = [rig.ask("unsafe")[0] for _ in range(4)]
+    before = rig.router.members[1].limit
+    rig.end(held[0], 0, 1, Result.CONNECT_FAILED)
+    assert rig.router.members[1].limit == before
+    rig.end(held[1], 0, 1, Result.CONNECT_FAILED)
+    assert rig.router.members[1].limit < before / 2
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -109,6 +109,8 @@
     while 3 not in sends(rig.log, request):
         request, _ = rig.ask("any")
     rig.end(request, 0, 3, Result.RESET)
+    for _ in range(2):  # it is asked, and its process does not run
+        rig.feed(api.Probed(3, Result.CONNECT_FAILED, 0.001))
     start = len(rig.log)
     rig.run(0.7)
     rig.ask("any")
