A driver told to stop serves the connections it holds until just before it is ended

Checked: log and timeline: both drivers ended by themselves 0.7 s after SIGTERM, the platform kept them down until 3.5 s, and clients with a driver of their own found nobody. Ruled out: the moves of discovery, drains (20 to 25 s have neither and are well). Lines at fault: Driver.stop and Front._look, which closed idle connections from 0.6 s on. Now held connections are served until the platform's stated least time less a margin; time is cut for what comes late, or it is refused.

--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -57,6 +57,7 @@
         self.clogged: OrderedDict[ClientConnection, float] = OrderedDict()
         self.accepted = self.bad_messages = self.bad_statements = self.timed_out = self.evicted = 0
         self.closing_from = float("inf")  # from then on connections without a request are closed
+        self.answered_by = float("inf")  # by then this driver ends, and whatever it took is answered
         clock.call_later(LOOK_EVERY, self._look)
 
     def make_room(self) -> bool:
@@ -285,7 +286,8 @@
     def _submit(self, statement: Statement) -> None:
         front, now = self.front, self.front.clock.now()
         arrived = min(now, self.since) if self.since else now
-        statement.until = arrived + statement.time_left
+        time_left = min(statement.time_left, front.answered_by - arrived)
+        statement.until = arrived + time_left
         age = 0.0
         if statement.after and statement.cls.freshness is Freshness.SESSION:
             age = max(1e-6, now + front.wall - statement.after / 1000.0)
@@ -293,7 +295,7 @@
         command = Command(
             statement.cls.name,
             statement.group,
-            statement.time_left - ANSWER_MARGIN,
+            time_left - ANSWER_MARGIN,
             statement,
             session,
             age,
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -25,8 +25,11 @@
 BACKLOG = 512
 ACCEPTS = 16  # connections accepted in one turn
 STILL_COMING = 0.5  # s after the signal to stop in which new connections still come
-IDLE_CLOSED_AFTER = 0.6  # s after it from which connections without a request are closed
-STOP_LOOK = 0.05
+LONGEST, BEYOND = 3.0, 0.7  # s; the platform ends a driver that was told to stop no sooner than the longest
+# deadline, counted as LONGEST where it is longer, and BEYOND after it was told
+STOP_MARGIN = 0.15  # s before that by which all is answered
+LAST_CLOSE = 0.2  # s before that from which connections without a request are closed
+STOP_LOOK = 0.02
 TRACE_EVERY = 0.5  # s between them where the trace is on
 REPORT_EVERY = 5.0  # s between lines about the driver itself
 
@@ -150,17 +153,24 @@
         self.lines.say("reloaded", discovery="{}:{}".format(*config.discovery))
 
     def stop(self, done: Callable[[], None]) -> None:
-        """End in order; calls back once nothing is owed and nobody is connected."""
+        """End in order; calls back once nothing is owed.
+
+        Clients go on with the connections they hold, and for many there is no other driver, so those are
+        served for as long as an answer is sure to leave; what comes late has less time, or is refused.
+        """
         began = self.clock.now()
-        self.front.closing_from = began + IDLE_CLOSED_AFTER
+        longest = max(c.deadline for c in self.config.settings.classes)
+        last = began + min(longest, LONGEST) + BEYOND - STOP_MARGIN
+        self.front.answered_by, self.front.closing_from = last, last - LAST_CLOSE
         self.lines.say("stopping", owed=self.engine.ledger.owed, clients=len(self.front.connections))
 
         def look() -> None:
-            passed = self.clock.now() - began
-            if passed >= STILL_COMING and self.port is not None:
+            now = self.clock.now()
+            if now >= began + STILL_COMING and self.port is not None:
                 port, self.port = self.port, None
                 port.stopListening()
-            if passed < IDLE_CLOSED_AFTER or self.engine.ledger.owed or self.front.connections:
+            over = now >= last or (self.port is None and not self.front.connections)
+            if not over or self.engine.ledger.owed:
                 self.clock.call_later(STOP_LOOK, look)
                 return
             self.catalog.stop()
--- a/tests/test_pg_client.py
+++ b/tests/test_pg_client.py
@@ -225,3 +225,20 @@
         connection.dataReceived(read(number))
     assert connection.reader.held < 2 * client.READ_AHEAD
     assert wire.producerState == "paused"
+
+
+def test_a_driver_that_ends_serves_what_comes_late_only_where_its_answer_leaves_in_time():
+    stage = Stage()
+    stage.front.answered_by = stage.clock.now() + 0.3
+    stage.front.closing_from = stage.clock.now() + 0.25
+    (early, early_wire), (late, late_wire), (_, idle) = stage.client(), stage.client(), stage.client()
+    early.dataReceived(read(1, d="5000"))
+    stage.turn()
+    assert len(stage.members.sent) == 1
+    stage.pass_by(0.29, step=0.005)
+    late.dataReceived(read(2, d="5000"))
+    stage.turn()
+    assert errors(late_wire)[0]["C"] == "53300" and len(stage.members.sent) <= 2
+    assert errors(early_wire) or early_wire.value()
+    stage.pass_by(0.3)
+    assert idle.disconnecting
