--- a/sedgepitch/core/pool.py
+++ b/sedgepitch/core/pool.py
@@ -315,6 +315,7 @@
         """Forget a connection that has ended."""
         if lane in self.lanes:
             self.lanes.discard(lane)
+            lane.give_up = None
             self.room.give()
         if lane in self.idle:
             self.idle.remove(lane)
--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -28,6 +28,7 @@
 ANSWER_MARGIN = 0.015  # s before the client's time is up at which its answer is decided; more than a tick
 READ_AHEAD = 64 * 1024  # bytes that a client may send ahead before its socket is left unread
 TALK_WITHIN = 2.0  # s for a client to introduce itself, or to end a message that it has begun
+SILENT_SPARED = 0.5  # s in which one that has said nothing yet does not go before the idle
 TAKE_WITHIN = 5.0  # s for a client to take an answer
 LOOK_EVERY = 0.2  # s between looks at those
 DRAIN = 256 * 1024  # bytes read and dropped behind an error, so that the error arrives
@@ -63,10 +64,13 @@
     def make_room(self) -> bool:
         """Close a client; False where all are busy.
 
-        The one that has said nothing for longest goes first, then the one idle longest. Guards against
-        connections held by the hundreds; may hurt a usual client that is slow to say its first word.
+        First one that has said nothing for a while, then the one idle longest, then the oldest silent one.
+        Guards against connections held by the hundreds; may hurt a usual client that is slow to say its
+        first word, or one that would have asked again.
         """
-        table = self.silent or self.idle
+        silent = next(iter(self.silent.items()), None)
+        waited = silent is not None and self.clock.now() - silent[1] > SILENT_SPARED
+        table: OrderedDict[ClientConnection, Any] = self.silent if waited or not self.idle else self.idle
         if not table:
             return False
         oldest, _ = table.popitem(last=False)
--- a/sedgepitch/fronts/postgres/member.py
+++ b/sedgepitch/fronts/postgres/member.py
@@ -27,7 +27,6 @@
 FULL = "53300"
 TIDY_EVERY = 1.0  # s between looks at idle connections
 MOST_NOTES = 8  # notices and parameters in a reply; more is noise
-NOTES = (b"server_role", b"commit_clock", b"usage")
 
 
 @dataclass(slots=True, frozen=True)
@@ -214,6 +213,8 @@
         reply.arrived = arrived
         reply.value = b"".join(self.parts) if not reply.code and not reply.spoilt else b""
         self.reply, done, self.done = None, self.done, None
+        if self.note is not None:
+            self.note("answered")
         if done is not None:
             done(reply)
 
--- a/sedgepitch/node/__main__.py
+++ b/sedgepitch/node/__main__.py
@@ -74,7 +74,7 @@
         return 1
     gc.collect()
     gc.freeze()
-    gc.set_threshold(20_000, 20, 50)
+    gc.set_threshold(5_000, 10, 5)  # what lives is small once frozen, so a whole collection takes little
     reactor.run(installSignalHandlers=False)
     return 0
 
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -222,6 +222,8 @@
         """What the module believes of each member beside what its connections show, one word a member."""
         now, words = self.clock.now(), []
         for member in self.engine.router.members.values():
+            if member.id not in self.membership.present:
+                continue
             link = self.members.links.get(member.id)
             lanes = (len(link.pool.lanes), len(link.pool.idle)) if link else (0, 0)
             role = "P" if self.engine.router.groups[member.group].primary is member else "r"
--- a/tests/test_pg_client.py
+++ b/tests/test_pg_client.py
@@ -242,3 +242,14 @@
     assert errors(early_wire) or early_wire.value()
     stage.pass_by(0.3)
     assert idle.disconnecting
+
+
+def test_a_newcomer_that_has_not_spoken_yet_does_not_go_for_the_next_while_others_are_idle():
+    stage = Stage(sockets=40)
+    held = [stage.client() for _ in range(stage.descriptors.clients_most - 1)]
+    _, newcomer = stage.client(greet=False)
+    stage.client(greet=False)
+    assert held[0][1].aborted and not newcomer.aborted
+    stage.pass_by(client.SILENT_SPARED + 0.1)
+    stage.client(greet=False)
+    assert newcomer.aborted and not held[1][1].aborted
