Rows of up to a mebibyte are taken from members

Checked with the reason in the log (new line member.spoilt): rows of 170 to 400 kB; the protocol's page states 64 KiB. At fault: the bound in codec.FROM_MEMBER.

--- a/sedgepitch/fronts/postgres/codec.py
+++ b/sedgepitch/fronts/postgres/codec.py
@@ -10,7 +10,8 @@
 import struct
 from collections.abc import Iterator, Mapping
 
-VALUE = 64 * 1024  # bytes of a value at most
+VALUE = 64 * 1024  # bytes of a value that a client writes, at most
+ROW = 1024 * 1024  # of one that a member answers with: more than is stated has been seen, and is whole
 STATEMENT = 2 * VALUE + 4096  # a value is written as two digits a byte
 VERSION, SSL, GSS, CANCEL = 3, 80877103, 80877104, 80877102
 
@@ -22,7 +23,7 @@
     b"K": 512,
     b"Z": 5,
     b"T": 4096,
-    b"D": VALUE + 16,
+    b"D": ROW + 16,
     b"C": 256,
     b"E": 16384,
     b"N": 16384,
--- a/sedgepitch/fronts/postgres/member.py
+++ b/sedgepitch/fronts/postgres/member.py
@@ -311,6 +311,7 @@
         self.heard: Callable[[float], None] = lambda arrived: None
         self.forgotten: Callable[[int], None] = lambda member: None
         self.trace: Callable[[int], Callable[..., None]] | None = None  # a connection's own notes
+        self.say: Callable[..., None] = lambda event, **fields: None
         self.spoilt = self.unread_reports = 0
         self.clock.call_later(TIDY_EVERY, self._tidy)
 
@@ -422,6 +423,7 @@
         """Turn what came back into an outcome and its evidence."""
         if reply.spoilt:
             self.spoilt += 1
+            self.say("member.spoilt", member=member, why=reply.spoilt)
             return AttemptEnd(Result.ERROR, why=f"spoilt answer: {reply.spoilt}", arrived=reply.arrived)
         end = AttemptEnd(self._result(reply), arrived=reply.arrived)
         if reply.code:
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -75,6 +75,7 @@
         self.front = Front(self.engine, self.clock, self.engine.classes, wall, self.descriptors, lines.say)
         self.members.heard = self._heard
         self.members.forgotten = self._forgotten
+        self.members.say = lines.say
         self.catalog = self._catalog(config)
         self.port: Any = None
         self.trouble = ""
--- a/tests/test_pg_member.py
+++ b/tests/test_pg_member.py
@@ -169,3 +169,15 @@
     end = played.end()
     assert end.result is Result.OK and end.reply is None
     assert end.report.position == pytest.approx(1000.25) and end.report.primary is False
+
+
+def test_a_large_row_in_pieces_is_served_whole_and_one_beyond_the_bound_is_spoilt():
+    row = codec.row_description() + codec.data_row(b"v" * 400_000) + codec.complete("SELECT 1")
+    played = Played()
+    for at in range(0, len(row), 50_000):
+        played.connection.dataReceived(row[at : at + 50_000])
+    played.connection.dataReceived(codec.READY)
+    assert played.end().reply == row
+    played = Played()
+    played.connection.dataReceived(codec.row_description() + struct.pack("!ci", b"D", codec.ROW + 17))
+    assert played.end().result is Result.ERROR
