Silence of a member is judged without the requests that were overtaken

Checked in the trace: two or three attempts on connections gone silent counted as owed, so that the time without an answer which is remarkable fell to 40 ms. At fault: Member.silent_from and Router.silence_due.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -68,6 +68,7 @@
         self.listed_primary = self.hearsay = False  # named primary by the late list against its own word
         self.position, self.lag, self.role_at = -NEVER, NEVER, -NEVER
         self.out: dict[tuple[int, int], Sent] = {}
+        self.lost: set[tuple[int, int]] = set()  # of those, the overtaken
         self.last_answer = self.watched = self.used_at = -NEVER
         self.turn = 0.0
         self.idle = 0.0  # how long its connections had been unused before the last send
@@ -84,8 +85,9 @@
         self.probing, self.probed_at = False, -NEVER
 
     def silent_from(self) -> float:
-        """Since when it owes an answer."""
-        return max(self.last_answer, self.watched, next(iter(self.out.values()))[0])
+        """Since when it owes an answer, those lost on their way left out."""
+        owed = next((sent for key, (sent, _, _) in self.out.items() if key not in self.lost), NEVER)
+        return max(self.last_answer, self.watched, owed)
 
 
 class Group:
@@ -254,6 +256,7 @@
         if member is None or (event.request, event.attempt) not in member.out:
             return
         sent, request, lost_from = member.out.pop((event.request, event.attempt))
+        member.lost.discard((event.request, event.attempt))
         if not member.out:
             self.busy.pop(member.id, None)
         group = self.groups[member.group]
@@ -698,7 +701,8 @@
 
     def silence_due(self, member: Member) -> float:
         """When the answers that a member owes make its silence remarkable."""
-        return member.silent_from() + max(2.0, SILENCE / len(member.out)) * self.typical
+        waiting = max(1, len(member.out) - len(member.lost))
+        return member.silent_from() + max(2.0, SILENCE / waiting) * self.typical
 
     def overdue_after(self, member: Member) -> float:
         """How long after its send a request is remarkable that a member has not answered, though others."""
@@ -707,11 +711,12 @@
     def look_for_silence(self, member: Member) -> None:
         """Help requests at a silent member; suspect it if others answered and its connection was in use."""
         after = self.overdue_after(member)
-        for sent, request, lost_from in list(member.out.values()):
+        for key, (sent, request, lost_from) in list(member.out.items()):
             if self.now < sent + after:
                 self.wake(sent + after)
                 break
             if member.answers >= lost_from:
+                member.lost.add(key)
                 self.hedge(request, lost=True)
         due = self.silence_due(member)
         if self.now < due:
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -147,3 +147,17 @@
     assert rig.router.members[1].limit == before
     rig.end(held[1], 0, 1, Result.CONNECT_FAILED)
     assert rig.router.members[1].limit < before / 2
+
+
+def test_requests_that_were_overtaken_do_not_make_their_member_silent():
+    rig = Rig(members=(listing(1, primary=True), listing(2), listing(3)))
+    answered_after(rig, "write", 60)
+    for _ in range(5):
+        hang(rig, "unsafe")
+    answered_after(rig, "write", 20)
+    for _ in range(10):
+        answered_after(rig, "write", 2)
+        answered_after(rig, "any", 4)
+        rig.run(0.045)  # well under what one request may wait, more than five may
+        assert not rig.router.members[1].suspect
+    assert len(rig.router.members[1].lost) == 5
