--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -717,7 +717,7 @@
                 break
             if member.answers >= lost_from:
                 member.lost.add(key)
-                self.hedge(request, lost=True)
+                self.hedge(request, member)
         due = self.silence_due(member)
         if self.now < due:
             self.wake(due)
@@ -762,18 +762,19 @@
             member.probing, member.probed_at = True, self.now
             self.actions.append(api.Probe(member.id))
 
-    def hedge(self, request: Request, lost: bool = False) -> None:
+    def hedge(self, request: Request, lost_at: Member | None = None) -> None:
         """A second copy of a safe read that waits too long, while the budget lasts.
 
-        Of what was overtaken, a second copy where only the primary serves too: it does answer others.
+        Of what was overtaken, the same member gets the copy where no other may: it does answer others.
         """
-        cls, primary = request.cls, request.group.primary
+        cls, member = request.cls, None
         if request.done or request.hedged or self.budget < 1.0:
             return
         if cls.effect is Effect.SAFE and cls.freshness is not Freshness.FRESH:
             member = self.pick(request, HEDGE_ROOM)
-        else:
-            member = primary if lost and primary and self.may_send(primary, request, HEDGE_ROOM) else None
+        if member is None and lost_at and self.may_send(lost_at, request, HEDGE_ROOM):
+            serves = lost_at is request.group.primary or self.fresh_enough(lost_at, request)
+            member = lost_at if serves else None
         if member is not None and not member.suspect and self.may_resend(request, member):
             request.hedged = True
             self.budget -= 1.0
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -161,3 +161,15 @@
         rig.run(0.045)  # well under what one request may wait, more than five may
         assert not rig.router.members[1].suspect
     assert len(rig.router.members[1].lost) == 5
+
+
+def test_a_lost_read_is_sent_again_to_its_member_where_no_other_may_serve_it():
+    rig = Rig(members=(listing(1, primary=True), listing(2)))
+    rig.router.distrust(rig.router.members[1], "down")
+    rig.router.members[1].rest_until = rig.now + 1e6
+    rig.router.random.random = lambda: 0.5  # no exploration
+    answered_after(rig, "any", 60)
+    request, actions = rig.ask("any", ttl=0.6)
+    assert sends(actions, request) == [2]
+    answered_after(rig, "any", 12)
+    assert sends(rig.log, request) == [2, 2]
