Only so many client connections may rest; the longest idle goes

At fault: client.py kept every idle connection until its half of the descriptors was full, while clients may hold a third.

--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -29,6 +29,7 @@
 READ_AHEAD = 64 * 1024  # bytes that a client may send ahead before its socket is left unread
 TALK_WITHIN = 2.0  # s for a client to introduce itself, or to end a message that it has begun
 SILENT_SPARED = 0.5  # s in which one that has said nothing yet does not go before the idle
+IDLE_SHARE = 0.33  # of the clients that there is room for, which may be connected and ask nothing
 TAKE_WITHIN = 5.0  # s for a client to take an answer
 LOOK_EVERY = 0.2  # s between looks at those
 DRAIN = 256 * 1024  # bytes read and dropped behind an error, so that the error arrives
@@ -52,7 +53,7 @@
         self.descriptors, self.log = descriptors, log
         self.open_ids: set[bytes] = set()
         self.connections: set[ClientConnection] = set()
-        self.idle: OrderedDict[ClientConnection, None] = OrderedDict()  # least lately used first
+        self.idle: OrderedDict[ClientConnection, None] = OrderedDict()  # the longest idle first
         self.silent: OrderedDict[ClientConnection, float] = OrderedDict()  # said nothing since
         self.talking: OrderedDict[ClientConnection, float] = OrderedDict()  # unfinished since
         self.clogged: OrderedDict[ClientConnection, float] = OrderedDict()
@@ -78,6 +79,19 @@
         oldest.transport.abortConnection()
         return True
 
+    def rests(self, connection: ClientConnection) -> None:
+        """A connection has nothing to do; the one idle longest goes where that makes too many.
+
+        Guards against clients that ask once and keep their connection for good, which leaves no room for
+        others, here or where they come from; may hurt one that asks again and has to connect anew.
+        """
+        self.idle.pop(connection, None)
+        self.idle[connection] = None
+        if len(self.idle) > IDLE_SHARE * self.descriptors.clients_most:
+            oldest, _ = self.idle.popitem(last=False)
+            self.evicted += 1
+            oldest.end(b"")
+
     def _look(self) -> None:
         now = self.clock.now()
         bounds = ((self.silent, TALK_WITHIN), (self.talking, TALK_WITHIN), (self.clogged, TAKE_WITHIN))
@@ -189,8 +203,7 @@
             self.transport.resumeProducing()
         if self.greeted and not self.reader.held:
             front.talking.pop(self, None)
-            front.idle[self] = None
-            front.idle.move_to_end(self)
+            front.rests(self)
         else:
             front.idle.pop(self, None)
             front.talking.setdefault(self, front.clock.now())
