--- a/benchmarks/beliefs.py
+++ b/benchmarks/beliefs.py
@@ -2,8 +2,7 @@
 
 `python -m benchmarks.beliefs LOG` reads the lines that SEDGEPITCH_TRACE=1 writes. For each member it
 compares the attempts that the module counts as under way with the statements that were written and not yet
-answered or ended, weighted by time, and tells how long decisions took to reach the socket and how old
-positions were.
+answered or ended, weighted by time, and tells how old positions were.
 """
 
 from __future__ import annotations
@@ -28,7 +27,6 @@
     time: float = 0.0
     sums: list[float] = field(default_factory=lambda: [0.0, 0.0, 0.0])  # believed, busy, difference
     longest: float = 0.0  # s that the two differed without a break
-    to_socket: list[float] = field(default_factory=list)
     ages: list[float] = field(default_factory=list)
     attempts: int = 0
     lost: int = 0
@@ -68,7 +66,6 @@
 def compare(trace: list[dict[str, Any]]) -> dict[int, Compared]:
     """Follow both sides through the trace."""
     members: dict[int, Compared] = defaultdict(Compared)
-    decided: dict[int, list[float]] = defaultdict(list)
     for line in trace:
         if "member" not in line:
             continue
@@ -77,7 +74,6 @@
         if what == "Send":
             member.believed += 1
             member.attempts += 1
-            decided[line["member"]].append(line["now"])
         elif what == "Finished":
             member.believed -= 1
             member.lost += line["result"] != "ok"
@@ -85,8 +81,6 @@
                 member.ages.append(line["now"] - line["report"]["position"])
         elif what == "written" and line["id"] != "probe":
             member.busy.add(line["connection"])
-            if decided[line["member"]]:
-                member.to_socket.append(at - decided[line["member"]].pop(0))
         elif what in ("answered", "ended"):
             member.busy.discard(line["connection"])
         member.compare(at)
@@ -97,18 +91,14 @@
     """Print a row for each member."""
     with open(sys.argv[1], encoding="utf-8", errors="replace") as file:
         members = compare(read(file))
-    print(
-        "member      attempts  not ok  believed  on sockets  mean difference"
-        "  longest s  to socket ms  position s"
-    )
+    print("member      attempts  not ok  believed  on sockets  mean difference" "  longest s  position s")
     for number, member in sorted(members.items()):
         span = member.time or 1.0
         believed, busy, difference = (total / span for total in member.sums)
-        sent = median(member.to_socket) * 1000.0 if member.to_socket else 0.0
         age = median(member.ages) if member.ages else 0.0
         print(
             f"{number:<11} {member.attempts:>8}  {member.lost:>6}  {believed:>8.3f}  {busy:>10.3f}"
-            f"  {difference:>15.4f}  {member.longest:>9.3f}  {sent:>12.3f}  {age:>10.3f}"
+            f"  {difference:>15.4f}  {member.longest:>9.3f}  {age:>10.3f}"
         )
     return 0
 
