The driver runs under the fleet bench's filter of system calls, held by a test

Need: the standing test refuses fork, starting programs, io_uring, sendfile, splice and sockets other than IPv4. Looked at by strace -f -c over 200 requests and /proc: run becomes the driver by exec, one process, one thread, no child, libc linked dynamically; no fork, clone, sendfile or splice. The loop's library sets up one io_uring to batch epoll_ctl (8 enters); UV_USE_IO_URING=0 does not stop that, tried; where it is refused it calls epoll_ctl itself. No change of build or run was needed. tests/test_confined.py starts the driver under a filter of its own that answers as the bench does: it serves, moves by SIGHUP, ends by SIGTERM with 0 and starts no process; the filter itself is shown to refuse each of the six.

--- a/tests/platform.py
+++ b/tests/platform.py
@@ -180,6 +180,7 @@
         self.agent.first = self.version(1)
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
         self.process: subprocess.Popen[bytes] | None = None
+        self.program = "sedgepitch.node"
         self.log = folder / "driver.txt"
 
     def listing(self, complete: bool = True, **changes: str) -> list[dict[str, Any]]:
@@ -229,7 +230,7 @@
         }
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "sedgepitch.node"], env=environment, stderr=log, stdout=log, cwd=ROOT
+                [sys.executable, "-m", self.program], env=environment, stderr=log, stdout=log, cwd=ROOT
             )
         self.port = int(self.wait_for(r"listening address=127\.0\.0\.1:(\d+)")[1])
 
--- /dev/null
+++ b/tests/test_confined.py
@@ -0,0 +1,94 @@
+"""What the deploy file starts, as the fleet bench holds it: one process, no fork, no io_uring, IPv4 alone."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import tomllib
+
+import pytest
+
+from tests.confined import supported
+from tests.platform import ROOT, WITHIN, Platform, change, look
+
+TRIED = """
+import os, socket, sys
+from tests.confined import confine
+confine()
+here, there = os.pipe()
+for name, call in {
+    "fork": os.fork,
+    "exec": lambda: os.execv(sys.executable, [sys.executable, "-c", ""]),
+    "sendfile": lambda: os.sendfile(there, here, 0, 1),
+    "splice": lambda: os.splice(here, there, 1),
+    "ipv6": lambda: socket.socket(socket.AF_INET6),
+    "unix": lambda: socket.socket(socket.AF_UNIX),
+}.items():
+    try:
+        call()
+        print(name, "went through")
+    except OSError as error:
+        print(name, error.errno)
+socket.socket(socket.AF_INET).close()
+"""
+
+pytestmark = pytest.mark.skipif(not supported(), reason="the filter is written for Linux on two machines")
+
+
+def test_the_filter_refuses_what_it_should():
+    ran = subprocess.run([sys.executable, "-c", TRIED], capture_output=True, text=True, cwd=ROOT, check=True)
+    assert ran.stdout.split("\n")[:-1] == [
+        "fork 38", "exec 38", "sendfile 38", "splice 22", "ipv6 97", "unix 97",
+    ]  # fmt: skip
+
+
+def test_the_driver_starts_serves_moves_and_stops_under_the_filter(tmp_path):
+    platform = Platform(tmp_path)
+    platform.program = "tests.confined"
+    platform.configure()
+    platform.start()
+    try:
+        platform.wait_for("list revision=1 complete=True remembered=False")
+        client = platform.client()
+        for number in range(1, 10):
+            assert client.ask(look(number)) == ("value", f"value of {number:x}".encode())
+        assert client.ask(change(0x2B)) == ("value", b"value of 2b")
+        platform.signal(signal.SIGHUP)
+        platform.wait_for("reloaded")
+        assert client.ask(look(99)) == ("value", b"value of 63")
+        assert platform.process is not None
+        assert not children(platform.process.pid)
+        platform.signal(signal.SIGTERM)
+        assert platform.process.wait(timeout=WITHIN) == 0
+        assert "engine.fault" not in platform.log.read_text()
+    finally:
+        platform.close()
+
+
+def children(pid: int) -> list[str]:
+    """The processes that this one has started, of all its threads."""
+    found = []
+    for thread in os.listdir(f"/proc/{pid}/task"):
+        with open(f"/proc/{pid}/task/{thread}/children", encoding="ascii") as lines:
+            found += lines.read().split()
+    return found
+
+
+def test_run_becomes_the_driver_by_exec():
+    deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
+    assert deploy["run"].startswith("exec ") and not set(deploy["run"]) & set(";&|<>`$\n")
+
+
+def test_the_interpreter_is_linked_dynamically_against_the_c_library(tmp_path):
+    platform = Platform(tmp_path)
+    platform.configure()
+    platform.start()
+    try:
+        assert platform.process is not None
+        with open(f"/proc/{platform.process.pid}/maps", encoding="ascii", errors="replace") as maps:
+            names = {line.rpartition("/")[2].strip() for line in maps}
+        assert any(name.startswith("ld-linux") or name.startswith("ld-musl") for name in names), names
+    finally:
+        platform.close()
