A driver of a large fleet turns no class away from an idle member

Begins with 1 / LEAST_WORTHY now: 0.1 %. A read that no trusted member takes may be a suspect's trial; a probe that timed out while others answered makes one.

--- /dev/null
+++ b/sedgepitch/model/__init__.py
@@ -0,0 +1,1 @@
+"""Fleets in virtual time, run by the program's own decisions."""
--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -142,7 +142,7 @@
         self.attempts: list[Member] = []
         self.out: dict[int, float] = {}
         self.may_have_run: list[tuple[Member, float]] = []
-        self.done = self.hedged = self.served = False
+        self.done = self.hedged = self.served = self.stuck = False
         self.asked, self.turned_away, self.not_before = 0, 0, 0.0
         self.erred: list[Member] = []
         self.worthy, self.luck = 1.0, luck
@@ -165,6 +165,8 @@
         self.aim = aim = min(c.aim for c in settings.classes)
         self.patrol_every, self.margin = max(settings.tick, aim / PATROL), 3.0 * settings.tick
         self.typical = aim * 0.2  # an answer's latency
+        # A driver of a large fleet may have one request at a member, of whatever class.
+        self.first_limit = max(1.0 / LEAST_WORTHY, LIMIT[1] / max(1, settings.drivers))
         self.wake_at, self.wakes, self.stalled = -NEVER, 0, False
         self.busy: dict[int, Member] = {}
         self.zone_strain: dict[str, float] = {}
@@ -228,9 +230,7 @@
         member = self.members.get(listing.member)
         group = self.groups.setdefault(member.group if member else listing.group, Group())
         if member is None:
-            member = self.members[listing.member] = Member(
-                listing, max(1.0, LIMIT[1] / max(1, self.settings.drivers))
-            )
+            member = self.members[listing.member] = Member(listing, self.first_limit)
             member.turn = self.random.random() ** (1.0 / member.size)  # the larger, the likelier early
             group.order.append(member)
             group.order.sort(key=lambda m: -m.turn)
@@ -403,6 +403,9 @@
             member.dead = True
         elif member.breaks and not member.suspect:
             self.broke(member, event.result)
+        elif event.result is Result.TIMEOUT and not member.suspect:
+            if self.heard_at > self.now - event.elapsed > member.last_answer:
+                self.distrust(member, "silent")  # asked in vain: else reads wait for it again and again
         if group.waiting:
             self.place_waiting(group)
         if group.suspects and group.last is not None:
@@ -415,9 +418,8 @@
         if not self.open_to(member, request):
             return False
         if member.suspect:
-            group = request.group
             alone = request.cls.effect is not Effect.SAFE or not self.settings.second_copies
-            return self.due(member) and (alone or len(group.suspects) == len(group.order))
+            return self.due(member) and (alone or request.stuck)
         if self.now + self.queueing(member) > request.useful:
             return False  # the answer would come too late to earn
         around = self.zone_strain.get(member.zone, 0.0) if self.now - member.last_answer > self.aim else 0.0
@@ -486,6 +488,11 @@
             self.finish(request)
             return
         member = self.choose(request) if now >= request.not_before else None
+        # What no trusted member takes is the trial of a suspect: else a group whose members were all but
+        # one cut off for a while is never used again, as trials are copies of what the others serve.
+        request.stuck = member is None and bool(request.group.suspects)
+        if request.stuck and now >= request.not_before:
+            member = self.choose(request)
         if member is not None and self.may_resend(request, member):
             self.send(request, member)
         elif now + self.margin >= request.give_up or self.window_over(request):
@@ -524,7 +531,7 @@
         if self.now + 2.0 * self.margin >= request.give_up:
             return False
         bound = request.cls.max_age if request.cls.freshness is Freshness.BOUNDED else self.now - request.need
-        passed = [request.group.primary, *request.attempts, *request.group.suspects.values()]
+        passed = [request.group.primary, *request.attempts]
         others = (m for m in request.group.order if m not in passed and self.may_send(m, request))
         likely = list(islice((m for m in others if m.lag < bound or self.may_ask(m)), 2))
         if likely:
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -362,6 +362,17 @@
     assert 0 < sum(sent) < 0.6 * len(sent)
 
 
+@pytest.mark.parametrize("name", ["any", "fresh", "session", "write"])
+def test_a_driver_of_a_large_fleet_turns_no_class_away_from_an_idle_member(name):
+    for seed in range(40):  # one request of each class by itself, whatever its luck and worth
+        rig = Rig(replace(SETTINGS, drivers=200), seed=seed)
+        for _ in range(3):
+            request, _ = rig.ask(name)
+            (member,) = sends(rig.log, request)
+            rig.end(request, 0, member, Result.OK, primary=member == 1)
+            rig.run(1.0)
+
+
 def test_a_client_with_too_little_time_is_answered_at_once():
     rig = Rig()
     request, actions = rig.ask("any", ttl=0.01)
@@ -463,3 +474,39 @@
             rig.router.zone_strain["a"] = strain
             sent[strain] += len(sends(rig.ask("any", ttl=0.3)[1]))
     assert sent[1.0] < 0.5 * sent[0.2]
+
+
+def test_a_suspect_gets_what_no_trusted_member_takes():
+    # cut and healed: all but one were found down while a zone was cut off; probes are answered again.
+    rig = Rig()
+    for member in (2, 3):
+        rig.router.distrust(rig.router.members[member], "silent")
+    rig.router.members[1].limit = 0.1  # and the one that is trusted is full
+    rig.run(5.0)
+    used = set()
+    for _ in range(4):
+        request, actions = rig.ask("any")
+        used |= set(sends(actions, request))
+        for member in sends(actions, request):
+            rig.end(request, 0, member, Result.OK, primary=member == 1)
+    assert used & {2, 3}
+    assert any(not rig.router.members[m].suspect for m in (2, 3))
+
+
+def test_a_probe_in_vain_keeps_reads_from_a_member_while_others_answer():
+    rig = Rig()
+    rig.heard(3, 0.3)
+    rig.run(1.0)
+    request, _ = rig.ask("any")
+    (served,) = sends(rig.log, request)
+    other = 5 - served if served != 1 else 2
+    rig.end(request, 0, served, Result.OK, primary=served == 1)
+    rig.feed(api.Probed(other, Result.TIMEOUT, 0.25))
+    assert rig.router.members[other].suspect == "silent"
+
+
+def test_a_probe_in_vain_while_nobody_answers_blames_no_member():
+    rig = Rig()
+    rig.run(1.0)
+    rig.feed(api.Probed(2, Result.TIMEOUT, 0.25))
+    assert not rig.router.members[2].suspect
