--- a/sedgepitch/decide/gossip.py
+++ b/sedgepitch/decide/gossip.py
@@ -414,6 +414,8 @@
             self._aware(max(0, probe.asked - probe.refused))
             if (peer := self.peers.get(probe.target)) is not None and peer.life <= Life.SUSPECT:
                 self._suspect(now, peer, self.name)
+                if (address := self.address_of(peer.name)) is not None:
+                    actions.append(Sync(address))  # where it lives it hears of it so, and refutes
         for seq, (asker, their, until) in list(self._relayed.items()):
             if now >= until:
                 del self._relayed[seq]
--- a/sedgepitch/model/gossipnet.py
+++ b/sedgepitch/model/gossipnet.py
@@ -186,8 +186,8 @@
         if not self._reached(name, to):
             return
         mine = self.peers[name].state(self.clock(name))
-        theirs = self.peers[to].state(self.clock(to))
         self._carry(to, self.peers[to].merge(self.clock(to), mine, name))
+        theirs = self.peers[to].state(self.clock(to))  # with what it refutes
         self.at(self.now + 0.002, lambda: self._merged(name, theirs, to))
 
     def _merged(self, name: str, state: gossip.State, sender: str) -> None:
