--- a/sedgepitch/decide/gossip.py
+++ b/sedgepitch/decide/gossip.py
@@ -270,6 +270,10 @@
         self._due = min(times)
         return self._due
 
+    def lateness(self, now: float) -> float:
+        """How long ago the turn that is due should have been; 0 before the first."""
+        return max(0.0, now - self._due) if self._due > -NEVER else 0.0
+
     def patience(self, peer: Peer) -> float:
         """How long a suspicion waits to be refuted: the shorter, the more accusers are independent."""
         least = self.settings.suspicion * max(1.0, log10(max(1, len(self.peers)))) * self.settings.period
@@ -445,7 +449,7 @@
         Guards against a process that was frozen and takes its own silence for others': what was under way is
         too old to judge by, and what others must refute gets its time anew. May hurt: detection waits.
         """
-        late = now - self._due if self._due > -NEVER else 0.0
+        late = self.lateness(now)
         if late <= self.settings.asleep_after:
             return
         self._due = now
