--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -8,7 +8,7 @@
 import socket
 from collections.abc import Callable
 from fnmatch import fnmatchcase
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import structlog
 from twisted.web.resource import Resource
@@ -31,6 +31,9 @@
 from sedgepitch.observe.metrics import Metrics
 from sedgepitch.policy import Router
 
+if TYPE_CHECKING:
+    from sedgepitch.peers.service import Peers
+
 SWEEP = 5.0  # s between looks at idle cursors
 
 
@@ -66,6 +69,23 @@
         return json.dumps({"driver": self.driver.settings.driver.name, **state}).encode()
 
 
+class _PeersResource(Resource):
+    """What `sedgepitch peers status` shows, as JSON."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, driver: Driver) -> None:
+        super().__init__()
+        self.driver = driver
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802
+        """Answer."""
+        peers = self.driver.peers
+        return json.dumps(
+            {"driver": self.driver.settings.driver.name, **(peers.status() if peers else {})}
+        ).encode()
+
+
 class Driver:
     """One driver on a reactor. `start` opens the listener, `stop` ends in order and calls back when done."""
 
@@ -127,9 +147,26 @@
             counted=lambda kind: self.metrics.input_errors.labels(kind).inc(),
         )
         self.members.heard = self.context.read
+        self.peers = self._make_peers() if settings.peers is not None else None
         self.ports: list[Any] = []
         self.ready: Callable[[], None] | None = None
 
+    def _make_peers(self) -> Peers:
+        """Know the other instances; raises KeyFileError. Imported only where the settings ask for it."""
+        from sedgepitch.decide.gossip import GossipSettings
+        from sedgepitch.peers.keys import load_keys
+        from sedgepitch.peers.service import Peers, PeerSettings
+
+        told = self.settings.peers
+        assert told is not None
+        paces = GossipSettings(
+            period=told.period, answer_within=0.4 * told.period, spread_every=0.4 * told.period
+        )
+        place = PeerSettings(
+            self.settings.driver.name, told.listen, tuple(told.seeds), dict(told.routes), paces
+        )
+        return Peers(self.reactor, self.clock, place, load_keys(told.key_file), say=self._note)
+
     def _mark_age(self) -> float:
         """A mark serves until it is a quarter of the tightest bound old."""
         bounds = [c.max_age for c in self.settings.classes if c.freshness is api.Freshness.BOUNDED]
@@ -163,8 +200,12 @@
             root: Any = Resource()
             root.putChild(b"metrics", MetricsResource(self.metrics.registry))
             root.putChild(b"door", _DoorResource(self))
+            root.putChild(b"peers", _PeersResource(self))
             host, port = self.settings.metrics
             self.ports.append(self.reactor.listenTCP(port, Site(root), interface=host))
+        if self.peers is not None:
+            host, port = self.peers.start()
+            self.log.info("peers.listening", address=f"{host}:{port}")
         self.clock.call_later(SWEEP, self._sweep)
         self.log.info("listening", address=f"{address.host}:{address.port}", pid=os.getpid())
         self.ready = lambda: ready(address.host, address.port)
@@ -179,6 +220,8 @@
     def stop(self, done: Callable[[], None]) -> None:
         """End in order: no new connections or requests, what is owed answered, then all closed."""
         self.engine.stopping = True
+        if self.peers is not None:
+            self.peers.stop()
         for port in self.ports:
             port.stopListening()
         self.ports = []
--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -46,6 +46,8 @@
 def serve(path: str, workers: int, worker: int) -> None:
     """Run a driver. Several workers share the port and nothing else; each is a driver of its own."""
     settings = _load(path)
+    if settings.peers is not None and workers > 1:
+        raise click.ClickException(f"{path}: peers: workers share one address; start a process a peer")
     if workers > 1 and not worker:
         sys.exit(_supervise(path, workers))
     from sedgepitch.cli.reactors import install
@@ -72,6 +74,8 @@
         raise click.ClickException(f"cannot listen on {error.interface}:{error.port}") from None
     except OSError as error:
         raise click.ClickException(f"cannot listen: {error.strerror}") from None
+    except ValueError as error:  # a key file that cannot be used
+        raise click.ClickException(str(error)) from None
     _calm_collector()
 
     def reload(number: int, frame: FrameType | None) -> None:
@@ -247,6 +251,50 @@
         click.echo(f"  {row['used_s']:>10.3f} s  {row['tenant'] or '(no name)'}")
 
 
+@main.group()
+def peers() -> None:
+    """The other instances of the program, where the settings have a part 'peers'."""
+
+
+@peers.command("newkey")
+@click.argument("path", type=click.Path(dir_okay=False))
+def peers_newkey(path: str) -> None:
+    """Write a new key file; the same file goes to every instance."""
+    from sedgepitch.peers.keys import KeyFileError, new_key_file
+
+    try:
+        new_key_file(path)
+    except KeyFileError as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(f"{path}: written, for its owner alone")
+
+
+@peers.command("status")
+@CONFIG
+def peers_status(path: str) -> None:
+    """Show whom a running driver knows, since when, and what it has heard of them."""
+    settings = _load(path)
+    if settings.metrics is None:
+        raise click.ClickException(f"{path}: peers are shown at the address 'metrics', which is not set")
+    host, port = settings.metrics
+    try:
+        with urllib.request.urlopen(f"http://{host}:{port}/peers", timeout=5.0) as answer:
+            state = json.load(answer)
+    except (OSError, ValueError):
+        raise click.ClickException(f"no driver answers at {host}:{port}") from None
+    if "peers" not in state:
+        raise click.ClickException(f"the driver {state['driver']} has no peers")
+    click.echo(
+        f"{state['name']} at {state['address']}: incarnation {state['incarnation']}, awareness"
+        f" {state['awareness']}, slept {state['sleeps']} times, {state['sent_bytes']} bytes sent"
+    )
+    for row in state["peers"]:
+        accused = f" accused by {', '.join(row['accusers'])}" if row["accusers"] else ""
+        click.echo(f"  {row['name']:24} {row['life']:8} for {row['for_s']:9.1f} s  {row['address']}{accused}")
+    for kind, count in sorted(state["counts"].items()):
+        click.echo(f"  {kind}: {count}")
+
+
 @main.group()
 def config() -> None:
     """Look at settings."""
--- a/sedgepitch/config/models.py
+++ b/sedgepitch/config/models.py
@@ -154,6 +154,22 @@
         return DoorSettings(**{name: getattr(self, name) for name in DoorSettings.__dataclass_fields__})
 
 
+class PeersModel(Model):
+    """The other instances. Absent: none are known, no socket is opened and nothing of it is imported."""
+
+    listen: Address
+    key_file: str = Field(min_length=1)
+    seeds: list[Address] = []
+    routes: dict[str, Address] = {}
+    period: Seconds = 0.25
+
+    @model_validator(mode="after")
+    def _paces(self) -> PeersModel:
+        if not 0.02 <= self.period <= 60.0:
+            raise ValueError("period must be from 20 ms to 60 s")
+        return self
+
+
 class LogModel(Model):
     """The log."""
 
@@ -218,6 +234,7 @@
     module: ModuleModel = ModuleModel()
     limits: LimitsModel = LimitsModel()
     door: DoorModel | None = None
+    peers: PeersModel | None = None
     standins: StandinsModel | None = None
 
     @model_validator(mode="after")
@@ -242,6 +259,8 @@
                 raise ValueError(f"limits: handover_within must be under half of the max_age of '{cls.name}'")
             if cls.effect is api.Effect.KEYED and self.limits.handover_within >= cls.window / 2:
                 raise ValueError(f"limits: handover_within must be under half of the window of '{cls.name}'")
+        if self.peers is not None and not 0 < len(self.driver.name) <= 64:
+            raise ValueError("driver: name needs 1 to 64 characters where there are peers")
         if any(g.shards for g in self.groups) and not self.shard_field:
             raise ValueError("groups: shards need shard_field, the path of the value that tells the shard")
         return self
--- a/sedgepitch/peers/keys.py
+++ b/sedgepitch/peers/keys.py
@@ -20,7 +20,7 @@
 PERSON = b"sedgepitch peers"
 
 
-class KeyFileError(Exception):
+class KeyFileError(ValueError):
     """A key file that cannot be used; one line that names the place."""
 
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -189,7 +189,19 @@
     )
     ran = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, check=True)
     loaded = set(json.loads(ran.stdout))
-    heavy = {"pydantic", "click", "structlog", "prometheus_client", "bson", "pymongo", "yaml", "xxhash"}
+    heavy = {
+        "pydantic",
+        "click",
+        "structlog",
+        "prometheus_client",
+        "bson",
+        "pymongo",
+        "yaml",
+        "xxhash",
+        "msgspec",
+    }
     assert not loaded & heavy
     own = {name for name in loaded if name.startswith("sedgepitch.")}
     assert not any("mongo" in n or "standins" in n or "decide.door" in n or ".load" in n for n in own)
+    # The platform's settings refuse peers: nothing of them is there to open a socket.
+    assert not any("peers" in n or "gossip" in n or "replay" in n for n in own)
