Nothing grows with fresh ids; discovery's silence, a moved member, a cut line: tests

Need: hard cases of the driver on the platform that had no test. 100,000 fresh ids and sessions through the module, 30,000 through front and engine with new connections, 2,000 members one after another: what can be reached from them grows by less than a tenth. A silent watch is left and the list serves on; a member that moved under its id is spoken to at its new address; half a line of discovery's counts for nothing.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -14,7 +14,7 @@
 from contextlib import ExitStack
 from pathlib import Path
 
-from sedgepitch.load.links import Datagrams
+from sedgepitch.load.links import Link
 from sedgepitch.load.peerfleet import Peer, processor_time, until
 from sedgepitch.peers.keys import new_key_file
 
@@ -34,7 +34,7 @@
         key = Path(folder) / "key"
         new_key_file(key)
         addresses = [f"127.0.0.1:{port}" for port in free_ports(count)]
-        relays = [Datagrams(a, seed + n) for n, a in enumerate(addresses)]
+        relays = [Link(a, seed + n) for n, a in enumerate(addresses)]
         routes = [x for n, r in enumerate(relays) for x in ("--route", f"d{n}={r.address}")]
         peers: dict[str, Peer] = {}
         for n, own in enumerate(addresses):
--- a/sedgepitch/decide/gossip.py
+++ b/sedgepitch/decide/gossip.py
@@ -655,9 +655,13 @@
         settings = self.settings
         living = [a for n in self._some(1, ()) if (a := self.address_of(n)) is not None]
         lost = [self.routes.get(p.name, p.address) for p in self.peers.values() if p.life is Life.DEAD]
+        held = {self.address, *(p.address for p in self.peers.values())}
+        missing = [s for s in self.seeds if s not in held]  # named, and never met: another part of the fleet
         pause = settings.rejoin_every if lost or not living else settings.sync_every
+        if missing:
+            pause = min(pause, settings.sync_every / 5.0)
         self._sync_at = now + pause * (0.75 + 0.5 * self.random.random())
-        others = lost or ([] if living else self.seeds)
+        others = [*lost, *missing] or ([] if living else self.seeds)
         if living and (not others or self.random.random() < pause / settings.sync_every):
             actions.append(Sync(living[0]))
         elif others:
--- a/sedgepitch/load/links.py
+++ b/sedgepitch/load/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import random
 import select
@@ -9,13 +10,95 @@
 import threading
 import time
 
+MOST_STREAMS = 256  # open at once through one link
+STREAM_IDLE = 60.0  # s
 KEPT = 1000  # datagrams remembered, for those who replay them
 
 
-class Datagrams:
-    """Datagrams to one address go through here: lost, doubled, delayed (so disordered), or cut off.
+class Streams:
+    """Streams to one address go through here: passed on, refused, or taken and left silent when cut."""
 
-    Shares are between 0 and 1, the delay is drawn evenly up to `delay` seconds. One thread; `close` ends it.
+    def __init__(self, to: tuple[str, int], listener: socket.socket) -> None:
+        self.to, self.listener = to, listener
+        self.cut = self.closed = False
+        self.held: set[socket.socket] = set()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while not self.closed:
+            try:
+                one, _ = self.listener.accept()
+            except OSError:
+                return
+            if len(self.held) >= MOST_STREAMS:
+                one.close()
+                continue
+            self.held.add(one)
+            if not self.cut:
+                threading.Thread(target=self._pass, args=(one,), daemon=True).start()
+
+    def _pass(self, one: socket.socket) -> None:
+        try:
+            other = socket.create_connection(self.to, timeout=STREAM_IDLE)
+        except OSError:
+            self._drop(one)
+            return
+        self.held.add(other)
+        back = threading.Thread(target=self._pump, args=(other, one), daemon=True)
+        back.start()
+        self._pump(one, other)
+        back.join()
+        self._drop(one)
+        self._drop(other)
+
+    def _pump(self, source: socket.socket, sink: socket.socket) -> None:
+        source.settimeout(STREAM_IDLE)
+        try:
+            while data := source.recv(65536):
+                while self.cut and not self.closed:
+                    time.sleep(0.02)
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            for end in (source, sink):
+                with contextlib.suppress(OSError):
+                    end.shutdown(socket.SHUT_RDWR)
+
+    def _drop(self, one: socket.socket) -> None:
+        self.held.discard(one)
+        one.close()
+
+    def close(self) -> None:
+        """End all of them."""
+        self.closed = True
+        self.listener.close()
+        for one in list(self.held):
+            with contextlib.suppress(OSError):
+                one.shutdown(socket.SHUT_RDWR)
+
+
+def both_ports() -> tuple[socket.socket, socket.socket]:
+    """A datagram socket and a listener on one port that the system chose."""
+    for _ in range(100):
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        datagrams = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            datagrams.bind(listener.getsockname())
+        except OSError:
+            listener.close()
+            datagrams.close()
+            continue
+        listener.listen(64)
+        return datagrams, listener
+    raise OSError("no port is free for both")
+
+
+class Link:
+    """Datagrams and streams to one address go through here.
+
+    Datagrams are lost, doubled, delayed (so disordered) or cut off; streams pass, or go silent where
+    `cut_streams` is called. Shares are between 0 and 1, the delay is drawn evenly up to `delay` seconds.
     """
 
     def __init__(self, to: str, seed: int = 1) -> None:
@@ -26,8 +109,8 @@
         self.cut = False
         self.kept: list[bytes] = []
         self.passed = self.lost = 0
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.socket.bind(("127.0.0.1", 0))
+        self.socket, listener = both_ports()
+        self.streams = Streams(self.to, listener)
         self.address = "{}:{}".format(*self.socket.getsockname())
         self.closed = False
         threading.Thread(target=self._run, daemon=True).start()
@@ -61,7 +144,12 @@
         self.passed += 1
         self.socket.sendto(data, self.to)
 
+    def cut_streams(self, cut: bool) -> None:
+        """Have streams go silent, or go on."""
+        self.streams.cut = cut
+
     def close(self) -> None:
         """End it."""
         self.closed = True
         self.socket.close()
+        self.streams.close()
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -139,6 +139,15 @@
     assert all("d2" not in fleet.peers[n].heard_of("zones", 0.0) for n in names if n != "d2")
 
 
+def test_two_parts_that_met_apart_find_each_other_by_a_seed_that_neither_knows():
+    fleet = Fleet(0, 3)
+    for name in ("d1", "d2", "d3"):
+        fleet.start(name)
+    fleet.until(lambda: fleet.agree(["d1", "d2", "d3"]), 30.0)
+    fleet.start("d0").seeds.clear()  # the first one of all asks nobody
+    fleet.until(lambda: fleet.agree(["d0", "d1", "d2", "d3"]), 30.0)
+
+
 def test_one_that_leaves_is_gone_at_once_and_is_not_called_dead():
     fleet, names = joined(12)
     for action in fleet.peers["d6"].leave(fleet.clock("d6")):
--- /dev/null
+++ b/tests/test_growth.py
@@ -0,0 +1,166 @@
+"""Nothing grows with fresh ids, and discovery's odd moments: silence, a moved member, a line cut in two."""
+
+from __future__ import annotations
+
+import gc
+import signal
+import time
+
+from sedgepitch import interface as api
+from sedgepitch.fleet import catalog
+from sedgepitch.interface import Result, State
+from tests.helpers import Rig, listing, sends
+from tests.pg import Stage, read, write
+from tests.platform import WITHIN, Member, Platform, look
+
+
+def sizes(held: object, seen: set[int] | None = None, depth: int = 4) -> int:
+    """How many entries the containers hold that can be reached from an object's attributes."""
+    seen = set() if seen is None else seen
+    if id(held) in seen or depth < 0:
+        return 0
+    seen.add(id(held))
+    total = 0
+    if isinstance(held, (dict, list, set, tuple)):
+        total += len(held)
+        parts = list(held.values()) if isinstance(held, dict) else list(held)
+    else:
+        names = [*getattr(held, "__dict__", {}), *getattr(type(held), "__slots__", ())]
+        if not type(held).__module__.startswith("sedgepitch"):
+            return 0
+        parts = [getattr(held, n) for n in names if hasattr(held, n)]
+    return total + sum(sizes(part, seen, depth - 1) for part in parts)
+
+
+def test_fresh_ids_and_sessions_by_the_hundred_thousand_leave_nothing_in_the_module():
+    rig = Rig()
+    names = ("any", "session", "bounded", "write", "fresh")
+    marks = []
+    for number in range(100_000):
+        rig.ask(names[number % 5], session=f"s{number}", session_age=0.3)
+        while rig.log:  # also what an answer or a probe sets free is answered
+            done, rig.log = rig.log, []
+            for action in done:
+                if isinstance(action, api.Probe):
+                    report = api.Report(rig.now - 0.01, action.member == 1, 0.0)
+                    rig.feed(api.Probed(action.member, Result.OK, 0.001, report))
+                elif isinstance(action, api.Send):
+                    rig.end(action.request, 0, action.member, Result.OK, primary=action.member == 1)
+        rig.now += 0.02
+        rig.timers = []  # all were answered at once, so none of them has anything to do
+        if number in (20_000, 60_000, 99_999):
+            rig.now += 20.0
+            rig.feed(api.Timer(0))
+            marks.append(sizes(rig.router))
+    assert not rig.router.requests
+    assert marks[2] <= marks[0] * 1.1 + 50, marks
+
+
+def test_members_replaced_without_end_are_forgotten_by_the_module():
+    rig = Rig()
+    marks = []
+    for number in range(1, 2_000):
+        fresh, old = 1000 + number, 999 + number
+        entries = [listing(fresh, primary=False)]
+        entries += [listing(old, state=State.GONE)] if number > 1 else []
+        rig.feed(api.Members(tuple(entries), complete=False))
+        request, actions = rig.ask("any")
+        for member in sends(actions, request):
+            rig.end(request, 0, member, Result.OK, primary=member == 1)
+        rig.now += 1.0
+        rig.timers, rig.log = [], []
+        if number in (500, 1_999):
+            marks.append(len(rig.router.members))
+    assert marks[-1] <= marks[0] + 5 and len(rig.router.groups[1].order) <= marks[0] + 5
+
+
+def test_fresh_ids_keys_and_connections_by_the_ten_thousand_leave_nothing_in_the_front():
+    stage = Stage()
+    connection, wire = stage.client()
+    marks = []
+    for number in range(1, 30_001):
+        if number % 50 == 0:
+            connection.connectionLost()
+            connection, wire = stage.client()
+        connection.dataReceived(read(number) if number % 9 else write(number))
+        stage.turn(0.01, 2)
+        while stage.members.sent:
+            stage.answer(0)
+            stage.members.sent.pop(0)
+        wire.clear()
+        if number in (5_000, 30_000):
+            stage.pass_by(3.0)
+            marks.append(sizes(stage.engine) + sizes(stage.front))
+    assert not stage.front.open_ids and not stage.engine.ledger.accounts
+    assert marks[1] <= marks[0] * 1.1 + 50, marks
+    gc.collect()
+
+
+def test_a_watch_that_says_nothing_is_left_and_the_list_serves_on(tmp_path, monkeypatch):
+    platform = Platform(tmp_path)
+    platform.configure()
+    platform.start()
+    try:
+        platform.wait_for("list revision=1 complete=True remembered=False")
+        client = platform.client()
+        platform.wait_for("discovery.lost why=discovery is silent")  # no empty line each 2 s comes
+        assert client.ask(look(1)) == ("value", b"value of 1")
+        end = time.monotonic() + WITHIN
+        while len(platform.agent.asked) < 2 and time.monotonic() < end:
+            time.sleep(0.02)
+        assert platform.agent.asked[1].endswith("index=1")
+    finally:
+        platform.close()
+
+
+def test_a_member_that_moved_under_its_id_is_spoken_to_at_its_new_address(tmp_path):
+    platform = Platform(tmp_path)
+    platform.configure()
+    platform.start()
+    old = platform.members[1]
+    try:
+        platform.wait_for("list revision=1 complete=True remembered=False")
+        client = platform.client()
+        for number in range(1, 12):
+            assert client.ask(look(number))[0] == "value"
+        assert old.statements
+        moved = platform.members[1] = Member("s-2", "reader")
+        platform.agent.say(platform.version(2, complete=False))
+        platform.wait_for("list revision=2")
+        before = len(old.statements)
+        for number in range(20, 60):
+            assert client.ask(look(number))[0] == "value"
+        assert moved.statements and len(old.statements) == before
+    finally:
+        platform.close()
+        old.close()
+
+
+def test_a_watch_cut_within_a_line_takes_nothing_of_it_and_asks_from_its_version(tmp_path):
+    platform = Platform(tmp_path)
+    platform.configure()
+    platform.start()
+    try:
+        platform.wait_for("list revision=1 complete=True remembered=False")
+        whole = platform.version(2, complete=False, s_2="draining")
+        platform.agent.first = platform.version(3, complete=False, s_2="draining")
+        platform.agent.say(whole[: len(whole) // 2])
+        watch = platform.agent.watches[0]
+        time.sleep(0.2)
+        platform.agent.server.shutdown_request(watch)
+        platform.wait_for("list revision=3")
+        assert "revision=2" not in platform.log.read_text()
+        assert platform.agent.asked[1].endswith("index=1")
+        client = platform.client()
+        before = len(platform.members[1].statements)
+        for number in range(1, 20):
+            assert client.ask(look(number))[0] == "value"
+        assert len(platform.members[1].statements) == before
+        platform.signal(signal.SIGTERM)
+        assert platform.process.wait(timeout=WITHIN) == 0
+    finally:
+        platform.close()
+
+
+def test_the_silence_that_ends_a_watch_is_longer_than_discoverys_own_pause():
+    assert catalog.SILENT > 2.0 * 2.0  # an empty line comes each 2 s
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -15,7 +15,7 @@
 
 from sedgepitch.decide.gossip import Ack, Ask, Nack, Ping, Rumour, State, Tell, Word
 from sedgepitch.decide.replay import CHALLENGE_EVERY, LATE, Sessions, Verdict
-from sedgepitch.load.links import Datagrams
+from sedgepitch.load.links import Link
 from sedgepitch.load.peerfleet import Peers, until
 from sedgepitch.peers import wire
 from sedgepitch.peers.keys import BadSeal, KeyFileError, Sealer, load_keys, new_key_file
@@ -133,7 +133,7 @@
 
 def test_replayed_datagrams_have_no_effect_not_even_on_the_next_life(tmp_path):
     held = Peers(tmp_path, 2)
-    relay = Datagrams(held.all["d0"].address())
+    relay = Link(held.all["d0"].address())
     speaker = held.start("d2", "--route", f"d0={relay.address}")
     try:
         until(lambda: held.agree({"d0", "d1", "d2"}) and len(relay.kept) > 10)
@@ -164,7 +164,7 @@
 
 def test_datagrams_cut_off_while_streams_go_through_make_nobody_dead(tmp_path):
     held = Peers(tmp_path, 3)
-    relays = [Datagrams(held.all[n].address()) for n in ("d0", "d1", "d2")]
+    relays = [Link(held.all[n].address()) for n in ("d0", "d1", "d2")]
     routes = [x for n, r in enumerate(relays) for x in ("--route", f"d{n}={r.address}")]
     try:
         until(lambda: held.agree({"d0", "d1", "d2"}))
