Watches held until a successor speaks; ends and list changes judged at the effect

Now Objects cuts by brackets, decide/watches.py holds what can hear until a successor has spoken. - fronts/postgres/client.py: a client whose socket is left unread (64 KiB sent ahead) was read on only when all it had sent was served, so its leaving was not seen. Now it is read on at half, and asked for its end by poll (POLLRDHUP). - node/driver.py: the end of a driver looked at the ledger alone; the accept queue was cut off by closing the port. Now decide/ending.py has the times, the queue is emptied, a connection is closed only with nothing unread. - core/pool.py, core/engine.py: an exchange that waited for its connection was sent after the list had told its member draining, gone, restarted or elsewhere. It is taken back and ends as not sent. - node/__main__.py: handlers came after heavy imports; node/signals.py keeps signals from the first line on. - settings.py: values of wrong type or range were taken, or named without their place.

--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -293,21 +293,50 @@
 
     def list_changed(self, event: api.Members) -> None:
         """Take the member list. What is told draining or gone binds from this moment."""
-        now = self.clock.now()
+        now, known = self.clock.now(), self.router.members
         listed = {entry.member for entry in event.listings}
+        other: set[int] = set()  # whose state is not what present decisions rest on
         for entry in event.listings:
             if entry.state is api.State.UP:
                 self.drained.pop(entry.member, None)
+                if entry.member in known and entry.started > known[entry.member].started:
+                    other.add(entry.member)
             else:
                 self.drained.setdefault(entry.member, now)
+                other.add(entry.member)
         if event.complete:
-            for member in list(self.router.members):
+            for member in list(known):
                 if member not in listed:
                     self.drained.setdefault(member, now)
+                    other.add(member)
         self.members.listed(event.listings, event.complete)
         self.events.append(event)
+        self._take_back(other)
         self._flush()
 
+    def _take_back(self, members: set[int]) -> None:
+        """End what is decided for these members and has not left: it may wait for a connection to open.
+
+        Guards against a send, after the list's word, to a member that seeks nothing new, is gone or has
+        started again since. May hurt: one attempt of the request's number is spent.
+        """
+        for account in list(self.ledger.accounts.values()):
+            for attempt, (member, _, exchange) in list(account.out.items()):
+                if member in members and not account.pinned and not exchange.begun():
+                    exchange.abandon()
+                    why = "the list changed before it left"
+                    self._attempt_ended(account, attempt, AttemptEnd(Result.NOT_SENT, why=why))
+
+    def hurry(self, by: float) -> None:
+        """Answer by then whatever is owed now: this driver ends."""
+        for account in self.ledger.accounts.values():
+            if account.deadline > by:
+                account.deadline = by  # the module was told of more: it is not asked once more then
+                heappush(self.deadlines, (by, account.id))
+        if self.deadlines and self.tick_due == NEVER:
+            self.tick_due = self.clock.now() + TICK
+            self.clock.call_later(TICK, self._tick)
+
     def _flush(self) -> None:
         self.flush_due = False
         if self.flushing:
--- a/sedgepitch/core/pool.py
+++ b/sedgepitch/core/pool.py
@@ -113,6 +113,9 @@
 
     def ready(self, connection: Connection) -> None:
         """Connected: begin what waits for it, or fall idle."""
+        if self not in self.pool.lanes:  # given up meanwhile: nobody would own it
+            connection.close()
+            return
         self.quiet()
         self.connection = connection
         exchange = self.exchange
@@ -140,6 +143,17 @@
         if exchange is not None and not was_lingering:
             exchange.end(self.pool.judge(exchange, reply))
 
+    def give_back(self, why: str) -> None:
+        """Stop connecting; what waits for the connection has not been sent."""
+        self.quiet()
+        give_up, self.give_up = self.give_up, None
+        exchange, self.exchange = self.exchange, None
+        self.pool.drop(self)
+        if give_up is not None:
+            give_up()
+        if exchange is not None:
+            exchange.end(AttemptEnd(Result.NOT_SENT, why=why))
+
     def failed(self, why: str) -> None:
         """No connection came about."""
         self.quiet()
@@ -200,6 +214,10 @@
         else:
             lane.exchange = None  # it never left; the connection is kept for the next
 
+    def begun(self) -> bool:
+        """Whether any of it may have left."""
+        return self.sent
+
     def withdraw(self) -> bool:
         """Take it back; where its bytes wait behind a full socket, the connection ends with them."""
         if not self.sent:
@@ -301,10 +319,15 @@
             lane.close()
 
     def retire(self) -> None:
-        """Close as soon as what is under way has ended; nothing new is sent."""
+        """Close as soon as what is under way has ended; nothing more is sent.
+
+        What waits for a connection to open would go to where the member no longer is: it ends as not sent.
+        """
         self.closed = True
         self.limits = replace(self.limits, idle_for=-1.0)  # whatever falls idle goes at once
         self.close_idle()
+        for lane in [x for x in self.lanes if x.connection is None]:
+            lane.give_back("the member is elsewhere")
 
     def close(self) -> None:
         """Close everything; exchanges under way end as reset."""
@@ -312,9 +335,8 @@
         for lane in list(self.lanes):
             if lane.connection is not None:
                 lane.connection.close()
-            elif lane.give_up is not None:
-                lane.give_up()
-                lane.failed("the pool is closed")
+            else:
+                lane.give_back("the pool is closed")
 
     def rest(self, lane: _Lane) -> None:
         """Keep a connection that is free; those unused for too long go now."""
--- a/sedgepitch/core/types.py
+++ b/sedgepitch/core/types.py
@@ -70,6 +70,9 @@
     def abandon(self) -> None:
         """Stop waiting; `on_end` is not called any more."""
 
+    def begun(self) -> bool:
+        """Whether any of it may have left."""
+
     def withdraw(self) -> bool:
         """Take it back; returns whether nothing had left, and then `on_end` is not called any more."""
 
--- a/sedgepitch/fleet/catalog.py
+++ b/sedgepitch/fleet/catalog.py
@@ -1,15 +1,15 @@
-"""Discovery on the platform: a watch over HTTP/1.1 on the list of members, one JSON object a line.
+"""Discovery on the platform: watches over HTTP/1.1 on the list of members, JSON objects one after another.
 
-The wire is h11's, which does no I/O. What the versions mean is `decide/membership.py`'s. A watch that is
-refused, cut, silent or unreadable is opened again from the last version, after a pause that grows.
+The wire is h11's, which does no I/O. What the versions mean is `decide/membership.py`'s; which watches are
+held, when another is opened and which one is let go, `decide/watches.py`'s. Here are the sockets.
 """
 
 from __future__ import annotations
 
 import json
 import math
-import random
-from collections.abc import Callable
+import re
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import h11
@@ -18,14 +18,14 @@
 
 from sedgepitch.core.types import Clock
 from sedgepitch.decide.membership import Address, Entry, Version
+from sedgepitch.decide.watches import Watches
 from sedgepitch.interface import State
 from sedgepitch.net import transport
 
-SILENT = 5.0  # s without a byte, where an empty line comes every 2 s, after which a watch is dead
-CONNECT_WITHIN = 1.0
-PAUSE = (0.1, 1.0)  # s between attempts: at first, and at most
-MOST_LINE = 4 * 1024 * 1024
+CONNECT_WITHIN = 1.0  # s; discovery stands on this machine
+MOST_OBJECT = 4 * 1024 * 1024  # bytes
 MOST_MEMBERS = 10_000
+NEVER = float("inf")
 STATES = {"up": State.UP, "draining": State.DRAINING, "removed": State.GONE}
 
 
@@ -92,86 +92,163 @@
     return Version(revision, complete, tuple(entries))
 
 
-class _Watch(Protocol):
-    """One connection to discovery."""
+class Objects:
+    """Cuts a stream into JSON objects, whatever the white space and wherever the pieces break.
+
+    Each byte is looked at once, and an object of more than MOST_OBJECT bytes is an error.
+    """
+
+    _INSIDE = re.compile(rb'["{}]')
+    _STRING = re.compile(rb'["\\\\]')
+    _OUTSIDE = re.compile(rb"[^ \t\r\n]")
+
+    def __init__(self) -> None:
+        self._part = bytearray()
+        self._depth = 0
+        self._string = self._escaped = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether an object has come in part."""
+        return self._depth > 0
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        """Take bytes; yields the objects that they end. Raises BadVersion for anything between objects."""
+        start = at = 0
+        while at < len(data):
+            if not self._depth:
+                first = self._OUTSIDE.search(data, at)
+                if first is None:
+                    return
+                start = first.start()
+                if data[start : start + 1] != b"{":
+                    raise BadVersion("discovery: not JSON objects")
+                self._depth, at = 1, start + 1
+            elif self._escaped:
+                self._escaped, at = False, at + 1
+            elif (sign := (self._STRING if self._string else self._INSIDE).search(data, at)) is None:
+                break
+            else:
+                at = sign.end()
+                self._take(sign.group())
+                if not self._depth:
+                    self._keep(data[start:at])
+                    whole, self._part = bytes(self._part), bytearray()
+                    yield whole
+        if self._depth:
+            self._keep(data[start:])
+
+    def _take(self, sign: bytes) -> None:
+        if sign == b'"':
+            self._string = not self._string
+        elif sign == b"\\":
+            self._escaped = True
+        else:
+            self._depth += 1 if sign == b"{" else -1
+
+    def _keep(self, part: bytes) -> None:
+        self._part += part
+        if len(self._part) > MOST_OBJECT:
+            raise BadVersion(f"discovery: an object of more than {MOST_OBJECT} bytes")
+
+
+class _Watch(ClientFactory, Protocol):
+    """One connection to discovery, from its opening on."""
 
     transport: Any
+    noisy = False
 
-    def __init__(self, source: Catalog) -> None:
-        self.source = source
+    def __init__(self, source: Catalog, address: Address, index: int) -> None:
+        self.source, self.address, self.index = source, address, index
         self.http = h11.Connection(h11.CLIENT)
-        self.line = bytearray()
-        self.heard_at = source.clock.now()
+        self.objects = Objects()
+        self.begun_at = 0.0  # when the object that is not whole began
+        self.connector: Any = None
         self.why = ""
+        self.ended = False
+
+    def open(self) -> None:
+        """Begin to connect; how that ends is told later, never from within this call."""
+        source = self.source
+        self.connector = transport.connect(source.reactor, *self.address, self, CONNECT_WITHIN)
+
+    def buildProtocol(self, addr: Any) -> _Watch:
+        """It is its own protocol: one factory, one connection."""
+        return self
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """No connection."""
+        self._over(reason.getErrorMessage())
 
     def connectionMade(self) -> None:
-        """Ask for what changed since the version held here."""
+        """Ask for what changed since the version held when this one was opened."""
+        if self.ended:
+            self.transport.abortConnection()
+            return
         self.transport.setTcpNoDelay(True)
-        target = f"/catalog/members?stream=1&index={self.source.revision()}"
-        host = "{}:{}".format(*self.source.address)
-        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
+        target = f"/catalog/members?stream=1&index={self.index}"
+        request = h11.Request(method="GET", target=target, headers=[("Host", "{}:{}".format(*self.address))])
         out = self.http.send(request) or b""
         self.transport.write(out + (self.http.send(h11.EndOfMessage()) or b""))
 
     def dataReceived(self, data: bytes) -> None:
         """Take bytes."""
-        self.heard_at = self.source.clock.now()
+        if self.ended:
+            return
         try:
             self.http.receive_data(data)
-            while True:
+            while not self.ended:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED:
                     return
-                if isinstance(event, h11.Response) and event.status_code != 200:
-                    raise BadVersion(f"discovery answered {event.status_code}")
-                if isinstance(event, h11.Data):
-                    self._lines(bytes(event.data))
+                if isinstance(event, h11.Response):
+                    if event.status_code != 200:
+                        self._over(f"discovery answered {event.status_code}")
+                        return
+                    self.source.answered(self)
+                elif isinstance(event, h11.Data):
+                    self._data(bytes(event.data))
                 elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
-                    self._break("discovery ended the watch")
-                    return
-        except (h11.RemoteProtocolError, BadVersion) as error:
-            self._break(str(error) or "discovery does not speak HTTP/1.1")
-
-    def _lines(self, data: bytes) -> None:
-        self.line += data
-        if len(self.line) > MOST_LINE:
-            raise BadVersion("discovery: a line without end")
-        if b"\n" not in data:
+                    self._over("discovery ended the watch")
+        except h11.RemoteProtocolError as error:
+            self._over(str(error)[:200] or "discovery does not speak HTTP/1.1")
+        except BadVersion as error:
+            self.source.afresh = True  # what it said is not known, so all has to be asked
+            self._over(str(error)[:200])
+
+    def _data(self, data: bytes) -> None:
+        source = self.source
+        fresh = not self.objects.begun
+        for whole in self.objects.feed(data):
+            fresh = True
+            source.told(self, whole)
+        if not self.objects.begun:
+            source.sign(self)
             return
-        *whole, rest = bytes(self.line).split(b"\n")
-        self.line = bytearray(rest)
-        for line in whole:
-            if line.strip():
-                self.source.told(self, line)
-
-    def _break(self, why: str) -> None:
-        self.why = self.why or why
-        self.transport.abortConnection()
-
-    def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """Ended."""
-        self.source.lost(self, self.why or reason.getErrorMessage())
-
-
-class _Factory(ClientFactory):
-    noisy = False
-
-    def __init__(self, source: Catalog) -> None:
-        self.source = source
+        if fresh:
+            self.begun_at = source.clock.now()
+        source.stirs(self, self.begun_at)
+
+    def end(self) -> None:
+        """Close it; nothing of it is told any more."""
+        self.ended = True
+        if self.transport is not None:
+            self.transport.abortConnection()
+        elif self.connector is not None:
+            self.connector.disconnect()
 
-    def buildProtocol(self, addr: Any) -> _Watch:
-        """Build one."""
-        watch = self.source.watch = _Watch(self.source)
-        return watch
+    def _over(self, why: str) -> None:
+        if not self.ended:
+            self.end()
+            self.source.lost(self, why)
 
-    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
-        """No connection."""
-        if connector is self.source.connector:
-            self.source.lost(None, reason.getErrorMessage())
+    def connectionLost(self, reason: Failure = connectionDone) -> None:  # type: ignore[override]
+        """Ended by the other side, if not here."""
+        self._over(reason.getErrorMessage())
 
 
 class Catalog:
-    """Follows discovery at one address. `listed` hears each version, `troubled` each lost watch."""
+    """Follows discovery at one address after another. `listed` hears each version, `troubled` each loss."""
 
     def __init__(
         self,
@@ -182,74 +259,90 @@
         revision: Callable[[], int],
         listed: Callable[[Version], None],
         troubled: Callable[[str], None],
-        seed: int = 0,
     ) -> None:
         self.reactor, self.clock, self.address, self.wall = reactor, clock, address, wall
         self.revision_held, self.listed, self.troubled = revision, listed, troubled
-        self.random = random.Random(seed)
-        self.watch: _Watch | None = None
-        self.connector: Any = None
-        self.pause, self.afresh, self.stopped = PAUSE[0], False, False
+        self.watches: Watches[_Watch] = Watches()
+        self.afresh = self.stopped = False
         self.timer: Any = None
 
-    def revision(self) -> int:
-        """The version to go on from; 0 asks for the whole list."""
-        return 0 if self.afresh else self.revision_held()
-
     def start(self) -> None:
-        """Open the watch."""
+        """Open the first watch."""
+        self._look()
+
+    def move(self, address: Address) -> None:
+        """Discovery is elsewhere. What is heard now is heard until the new place has spoken."""
         if self.stopped:
             return
-        self.watch = None
-        self.connector = transport.connect(self.reactor, *self.address, _Factory(self), CONNECT_WITHIN)
-        self._look_later()
+        self.address = address
+        self._close(self.watches.moved())
+        self._look()
 
     def stop(self) -> None:
         """End it for good."""
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
-        if self.watch is not None and self.watch.transport is not None:
-            self.watch.transport.abortConnection()
-        elif self.connector is not None:
-            self.connector.disconnect()
+        self._close(self.watches.all())
 
-    def told(self, watch: _Watch, line: bytes) -> None:
-        """Take one line."""
-        if self.stopped or watch is not self.watch:
+    def told(self, watch: _Watch, whole: bytes) -> None:
+        """Take one object. Raises BadVersion."""
+        if self.stopped or not self.watches.holds(watch):
             return
         try:
-            version = read_version(json.loads(line), self.wall)
-        except (ValueError, RecursionError) as error:
-            self.afresh = True  # what it said is not known, so all has to be asked
-            raise BadVersion(
-                str(error)[:200] if isinstance(error, BadVersion) else "discovery: not JSON"
-            ) from None
-        self.pause = PAUSE[0]
+            raw = json.loads(whole)
+        except (ValueError, RecursionError):
+            raise BadVersion("discovery: not JSON") from None
+        version = read_version(raw, self.wall)
+        self.sign(watch)
         if version.complete:
             self.afresh = False
         self.listed(version)
 
-    def lost(self, watch: _Watch | None, why: str) -> None:
-        """Open it again, a little later."""
-        if self.stopped or (watch is not None and watch is not self.watch):
+    def answered(self, watch: _Watch) -> None:
+        """Discovery will serve it."""
+        self.watches.answered(watch, self.clock.now())
+
+    def sign(self, watch: _Watch) -> None:
+        """It lives."""
+        self._close(self.watches.sign(watch, self.clock.now()))
+        if not self.stopped:
+            self._look_later()
+
+    def stirs(self, watch: _Watch, since: float) -> None:
+        """Part of an object came."""
+        self.watches.stirs(watch, since, self.clock.now())
+
+    def lost(self, watch: _Watch, why: str) -> None:
+        """A watch ended that was still held."""
+        if self.stopped or not self.watches.holds(watch):
             return
-        self.watch, self.connector = None, None
+        self.watches.lost(watch, self.clock.now())
         self.troubled(why)
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer = self.clock.call_later(self.pause * (0.5 + self.random.random()), self.start)
-        self.pause = min(2.0 * self.pause, PAUSE[1])
+        self._look_later()
+
+    def _close(self, watches: list[_Watch]) -> None:
+        for watch in watches:
+            watch.end()
 
     def _look_later(self) -> None:
         if self.timer is not None:
             self.timer.cancel()
-        self.timer = self.clock.call_later(SILENT / 4.0, self._look)
+        at = self.watches.due()
+        self.timer = self.clock.call_later(max(0.0, at - self.clock.now()), self._due) if at < NEVER else None
+
+    def _due(self) -> None:
+        """Read what lies unread before a silence is judged: twice round, whatever order the loop keeps."""
+        self.clock.soon(self.clock.soon, self._look)
 
     def _look(self) -> None:
-        """A watch that has been silent for too long is dead, whatever the connection says."""
-        watch = self.watch
-        if watch is not None and self.clock.now() - watch.heard_at > SILENT:
-            watch.why = "discovery is silent"
-            watch.transport.abortConnection()
+        if self.stopped:
+            return
+        now = self.clock.now()
+        if self.watches.opens(now):
+            if self.watches.open_at == NEVER:
+                self.troubled("discovery is silent")
+            watch = _Watch(self, self.address, 0 if self.afresh else self.revision_held())
+            self._close(self.watches.opened(watch, now))
+            watch.open()
         self._look_later()
--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -19,18 +19,21 @@
 from sedgepitch.core.ledger import Account
 from sedgepitch.core.types import Answer, Clock, Command, Verdict
 from sedgepitch.decide.descriptors import Descriptors
+from sedgepitch.decide.ending import Ending
 from sedgepitch.decide.visitors import Visitors
 from sedgepitch.fronts.postgres import codec, statements
 from sedgepitch.fronts.postgres.codec import BadMessage, Reader
 from sedgepitch.fronts.postgres.statements import BadStatement, Statement
 from sedgepitch.interface import Freshness, RequestClass
+from sedgepitch.net import transport
 
 ANSWER_MARGIN = 0.015  # s before the client's time is up at which its answer is decided; more than a tick
 READ_AHEAD = 64 * 1024  # bytes that a client may send ahead before its socket is left unread
-LOOK_EVERY = 0.2  # s between looks at who is too slow
+LOOK_EVERY = 0.1  # s between looks at who is too slow, and who has left unread
+LEFT_AFTER = 0.05  # s after which it is asked whether the client of what is now read is still there
 DRAIN = 256 * 1024  # bytes read and dropped behind an error, so that the error arrives
 DRAIN_WITHIN = 0.5  # s for that
-REFUSED, FAILED, BROKEN = "53300", "58000", "08P01"
+REFUSED, FAILED, BROKEN, ENDING = "53300", "58000", "08P01", "57P03"
 
 
 class Front:
@@ -48,10 +51,12 @@
         self.descriptors = descriptors
         settings = engine.router.settings
         self.most_come_back = settings.max_come_back if settings.come_back else 0.0  # s; 0 where none is told
-        self.open_ids: set[bytes] = set()
+        self.open_ids: dict[bytes, ClientConnection] = {}
         self.connections: set[ClientConnection] = set()
         self.visitors: Visitors[ClientConnection] = Visitors(descriptors.clients_most)
         self.accepted = self.bad_messages = self.bad_statements = 0
+        self.unread: set[ClientConnection] = set()  # whose sockets are left unread for what they sent ahead
+        self.left_unread = self.left_waiting = 0  # clients found gone behind bytes that were not read yet
         self.closing_from = float("inf")  # from then on connections without a request are closed
         self.answered_by = float("inf")  # by then this driver ends, and whatever it took is answered
         clock.call_later(LOOK_EVERY, self._look)
@@ -60,11 +65,23 @@
         now = self.clock.now()
         for connection in self.visitors.too_slow(now):
             connection.too_slow()
-        if now >= self.closing_from:
-            for connection in list(self.visitors.resting):
-                connection.transport.loseConnection()
+        for connection in list(self.unread):
+            if transport.left(connection.transport):
+                self.left_unread += 1
+                connection.leave()
         self.clock.call_later(LOOK_EVERY, self._look)
 
+    def ends(self, ending: Ending) -> None:
+        """This driver ends: from now on times are cut to that."""
+        self.closing_from, self.answered_by = ending.closing_from, ending.answered_by
+
+    def close_free(self) -> None:
+        """Where it is time, close whoever has nothing under way."""
+        now = self.clock.now()
+        if now >= self.closing_from:
+            for connection in list(self.connections):
+                connection.close_free(now >= self.answered_by)
+
 
 @implementer(IPushProducer)
 class _Outlet:
@@ -139,6 +156,7 @@
         self.advance()
         if self.busy and self.reader.held > READ_AHEAD and not self.stopped:
             self.stopped = True
+            front.unread.add(self)
             self.transport.pauseProducing()
 
     def advance(self) -> None:
@@ -155,11 +173,10 @@
             front.bad_messages += 1
             self.end(codec.error(BROKEN, str(error), fatal=True))
             return
+        if self.stopped and not self.ending and self.reader.held <= READ_AHEAD // 2:
+            self._read_on()
         if self.busy or self.ending:
             return
-        if self.stopped:
-            self.stopped = False
-            self.transport.resumeProducing()
         if not self.greeted or self.reader.held:
             front.visitors.unfinished(self, front.clock.now())
         elif (goes := front.visitors.rests(self, front.clock.now())) is not None:
@@ -197,10 +214,33 @@
         if hasattr(self.transport, "loseWriteConnection"):
             self.transport.loseWriteConnection()
         if self.stopped:
-            self.stopped = False
-            self.transport.resumeProducing()
+            self._read_on()
         front.clock.call_later(DRAIN_WITHIN, self._close)
 
+    def _read_on(self) -> None:
+        self.stopped = False
+        self.front.unread.discard(self)
+        self.transport.resumeProducing()
+
+    def leave(self) -> None:
+        """The client has left, though its end has not been read: nothing is owed or sent from here on."""
+        self._forget_request()
+        self.ending = True
+        self.reader = Reader({})
+        self.transport.abortConnection()
+
+    def close_free(self, last: bool) -> None:
+        """This driver ends: close, unless something is under way here or lies unread.
+
+        `last`: also where half of something has come, which nobody will wait for.
+        """
+        if self.busy or self.ending or not transport.quiet(self.transport):
+            return
+        if not self.reader.held:
+            self.end(b"")
+        elif last:
+            self.end(codec.error(ENDING, "this driver ends", fatal=True))
+
     def _close(self) -> None:
         if self in self.front.connections:
             self.transport.abortConnection()
@@ -210,11 +250,15 @@
         front = self.front
         front.connections.discard(self)
         front.visitors.left(self)
+        front.unread.discard(self)
         front.descriptors.client_left()
+        self._forget_request()
+
+    def _forget_request(self) -> None:
         if self.account is not None:
             account, self.account = self.account, None
-            front.open_ids.discard(account.command.payload.id)
-            front.engine.gone(account)
+            self.front.open_ids.pop(account.command.payload.id, None)
+            self.front.engine.gone(account)
 
     # Statements
 
@@ -233,7 +277,7 @@
         front.engine.before_reading()
         try:
             statement = statements.read(text, front.classes)
-            if statement.id in front.open_ids:
+            if not self._id_free(statement.id):
                 raise BadStatement("id: a request of this id is open", "42710")
         except BadStatement as error:
             front.bad_statements += 1
@@ -242,6 +286,16 @@
             return
         self._submit(statement)
 
+    def _id_free(self, request: bytes) -> bool:
+        """Whether no request of this id is open; that of a client who left before any attempt is not."""
+        owner = self.front.open_ids.get(request)
+        if owner is None:
+            return True
+        if owner.account is None or owner.account.attempts or not transport.left(owner.transport):
+            return False
+        owner.leave()
+        return True
+
     def _next(self) -> None:
         """Answered: what was sent ahead is taken by a later turn."""
         self.busy = False
@@ -258,6 +312,12 @@
     def _submit(self, statement: Statement) -> None:
         front, now = self.front, self.front.clock.now()
         arrived = min(now, self.since) if self.since else now
+        # Guards against work for a client who left while its bytes lay unread, by this driver's own delay or
+        # behind what it sent ahead. May hurt: one more system call for what was read late.
+        if (now - arrived > LEFT_AFTER or self.stopped) and transport.left(self.transport):
+            front.left_waiting += 1
+            self.leave()
+            return
         time_left = min(statement.time_left, front.answered_by - arrived)
         statement.until = arrived + time_left
         age = 0.0
@@ -275,11 +335,11 @@
         )
         self.busy = True
         front.visitors.busy(self)
-        front.open_ids.add(statement.id)
+        front.open_ids[statement.id] = self
 
         def answered(answer: Answer) -> None:
             self.account = None
-            front.open_ids.discard(statement.id)
+            front.open_ids.pop(statement.id, None)
             self._answer(answer)
 
         account = front.engine.submit(command, answered, arrived)
--- a/sedgepitch/fronts/postgres/member.py
+++ b/sedgepitch/fronts/postgres/member.py
@@ -375,15 +375,19 @@
 
     def _pool(self, member: int, address: tuple[str, int]) -> Pool:
         def connect(ready: Any, failed: Callable[[str], None], lost: Callable[[str], None]) -> Any:
-            def make() -> MemberConnection:
-                made = MemberConnection(self.names, self.clock.now, ready, failed, lost, self.heard)
-                if self.trace is not None:
-                    made.note = self.trace(member)
-                return made
-
-            factory = transport.Opening(make, failed)
+            made = MemberConnection(self.names, self.clock.now, ready, failed, lost, self.heard)
+            if self.trace is not None:
+                made.note = self.trace(member)
+            factory = transport.Opening(lambda: made, failed)
             connector = transport.connect(self.reactor, *address, factory, self.limits.connect_within + 1.0)
-            return connector.disconnect
+
+            def give_up() -> None:
+                if made.transport is None:
+                    connector.disconnect()
+                else:  # up, but not greeted: its greeting must not count any more
+                    made.close()
+
+            return give_up
 
         return Pool(
             self.clock,
--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+import select
 import socket
 import struct
 import time
@@ -138,6 +139,11 @@
         self.stopReading()
         self.reactor.callLater(LOOK_AGAIN, self._look_again)
 
+    def accept_all(self) -> None:
+        """Accept whatever waits in the backlog, so that closing the port cuts off nobody who is connected."""
+        while self.connected and _readable(self.fileno()):
+            super().doRead()
+
     def _look_again(self) -> None:
         if self.connected and not self.disconnecting:
             self.startReading()
@@ -165,6 +171,25 @@
         return StampedClient(self.host, self.port, self.bindAddress, self, self.reactor)
 
 
+def _readable(descriptor: int) -> bool:
+    asked = select.poll()
+    asked.register(descriptor, select.POLLIN)
+    return bool(asked.poll(0))
+
+
+def left(opened: Any) -> bool:
+    """Whether the peer of an open connection has ended it, though what it sent before lies unread.
+
+    A connection that is not read does not show its end otherwise: it stands behind the bytes.
+    """
+    held = getattr(opened, "socket", None)
+    if held is None or held.fileno() < 0:
+        return bool(getattr(opened, "left", False))
+    asked = select.poll()
+    asked.register(held.fileno(), select.POLLRDHUP)
+    return bool(asked.poll(0))
+
+
 def quiet(opened: Any) -> bool:
     """Whether nothing waits to be read on an open connection: no bytes, no end, no error."""
     if getattr(opened, "disconnecting", False) or not getattr(opened, "connected", True):
--- a/sedgepitch/node/__main__.py
+++ b/sedgepitch/node/__main__.py
@@ -2,15 +2,22 @@
 
 from __future__ import annotations
 
-import gc
 import os
-import signal
 import sys
 import time
-from typing import Any
 
-from sedgepitch.node.config import BadConfig, load
-from sedgepitch.node.lines import TRACE_VARIABLE, Lines
+from sedgepitch.node.signals import Signals
+
+SIGNALS = Signals() if __name__ == "__main__" else None  # before what takes long to load
+
+import gc  # noqa: E402
+import signal  # noqa: E402
+from typing import Any  # noqa: E402
+
+from sedgepitch.node.config import BadConfig, Config, load  # noqa: E402
+from sedgepitch.node.lines import TRACE_VARIABLE, Lines  # noqa: E402
+
+READ_AGAIN, READINGS = 0.1, 20  # s between readings of a file that cannot be used, and how many
 
 
 def install_reactor() -> Any:
@@ -33,14 +40,14 @@
     return reactor
 
 
-def main() -> int:
+def main(signals: Signals) -> int:
     """Serve until SIGTERM; returns the exit code."""
     environment = dict(os.environ)
     tracing = bool(environment.get(TRACE_VARIABLE))
     lines = Lines(environment.get("RELAY_NAME", "driver"), tracing=tracing)
     wall = time.time() - time.monotonic()
     try:
-        config = load(environment, wall)
+        config: Config = load(environment, wall)
     except BadConfig as error:
         lines.say("config.bad", why=str(error))
         return 2
@@ -50,34 +57,45 @@
     from sedgepitch.node.driver import Driver
 
     driver = Driver(reactor, config, lines, wall)
-    stopping = False
+    stopping, reading = False, 0
 
-    def reload() -> None:
+    def reload(count: int, number: int) -> None:
+        """Read the file again; one that is just being written is read once more a little later."""
+        if number != reading:
+            return  # told anew meanwhile
         try:
             driver.reload(load(environment, wall))
         except BadConfig as error:
-            lines.say("config.bad", why=str(error), kept="the old one")
-
-    def stop() -> None:
-        nonlocal stopping
-        if not stopping:
+            if count == 1:
+                lines.say("config.bad", why=str(error), kept="the old one")
+            if count < READINGS:
+                reactor.callLater(READ_AGAIN, reload, count + 1, number)
+
+    def act(number: int) -> None:
+        nonlocal stopping, reading
+        if number == signal.SIGHUP:
+            reading += 1
+            reload(1, reading)
+        elif not stopping:
             stopping = True
             driver.stop(reactor.stop)
 
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(reload))
-    signal.signal(signal.SIGTERM, lambda *_: reactor.callFromThread(stop))
-    signal.signal(signal.SIGINT, lambda *_: reactor.callFromThread(stop))
+    if signals.told_to_end:
+        return 0  # nobody was promised anything yet
     try:
         driver.start()
     except CannotListenError as error:
         lines.say("listen.failed", why=str(error))
         return 1
+    signals.to(lambda number: reactor.callFromThread(act, number))
     gc.collect()
     gc.freeze()
     gc.set_threshold(5_000, 10, 5)  # what lives is small once frozen, so a whole collection takes little
     reactor.run(installSignalHandlers=False)
+    signals.over()
     return 0
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    assert SIGNALS is not None
+    sys.exit(main(SIGNALS))
--- a/sedgepitch/node/config.py
+++ b/sedgepitch/node/config.py
@@ -10,9 +10,10 @@
 from sedgepitch import interface as api
 from sedgepitch.decide.membership import Address, Version
 from sedgepitch.fleet.catalog import BadVersion, read_address, read_version
-from sedgepitch.settings import BadSettings, translate_settings
+from sedgepitch.settings import BadSettings, number, translate_settings
 
 MOST_BYTES = 16 * 1024 * 1024
+CONNECT_WITHIN, IDLE_FOR = 1.0, 60.0  # s, where the settings state none, or 0
 
 
 class BadConfig(ValueError):
@@ -65,14 +66,14 @@
         raise BadConfig("settings: missing, or not an object")
     seed = raw.get("seed", "0")
     try:
-        number = int(seed, 16) if isinstance(seed, str) else int(seed)
+        seeded = int(seed, 16) if isinstance(seed, str) else int(seed)
         listen = read_address(told("listen", "RELAY_LISTEN"), "listen", least=0)
         discovery = read_address(told("discovery", "RELAY_DISCOVERY"), "discovery")
         known = None if raw.get("known") is None else read_version(raw["known"], wall, "known")
         translated = translate_settings(settings)
         stated = settings.get("limits", {})
-        connect_within = float(stated.get("connectTimeoutS", 1.0))
-        idle = float(stated.get("idleCloseS", 60.0))
+        connect_within = number(stated, "connectTimeoutS", 0.0, "limits") or CONNECT_WITHIN
+        idle = number(stated, "idleCloseS", 0.0, "limits") or IDLE_FOR
     except BadVersion as error:
         raise BadConfig(str(error)) from None
     except BadSettings as error:
@@ -83,7 +84,7 @@
         name=told("name", "RELAY_NAME"),
         listen=listen,
         discovery=discovery,
-        seed=number,
+        seed=seeded,
         cores=_limit(limits, "cores"),
         memory=_limit(limits, "memory_mb"),
         sockets=int(_limit(limits, "sockets")),
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import time
 from collections.abc import Callable
 from typing import Any
@@ -11,6 +12,7 @@
 from sedgepitch.core.engine import Engine
 from sedgepitch.core.pool import PoolLimits
 from sedgepitch.decide.descriptors import Descriptors
+from sedgepitch.decide.ending import Ending
 from sedgepitch.decide.membership import Membership, Version
 from sedgepitch.fleet.catalog import Catalog
 from sedgepitch.fronts.postgres.client import ClientFactory, Front
@@ -24,14 +26,11 @@
 IDLE_SHARE = 0.8  # of the time after which members close idle connections
 BACKLOG = 512
 ACCEPTS = 16  # connections accepted in one turn
-STILL_COMING = 0.5  # s after the signal to stop in which new connections still come
-LONGEST, BEYOND = 3.0, 0.7  # s; the platform ends a driver that was told to stop no sooner than the longest
-# deadline, counted as LONGEST where it is longer, and BEYOND after it was told
-STOP_MARGIN = 0.15  # s before that by which all is answered
-LAST_CLOSE = 0.2  # s before that from which connections without a request are closed
-STOP_LOOK = 0.02
+STOP_LOOK = 0.02  # s between looks while the driver ends
 TRACE_EVERY = 0.5  # s between them where the trace is on
 REPORT_EVERY = 5.0  # s between lines about the driver itself
+# Of a configuration that is read again, what is taken up only by a new start.
+NEEDS_RESTART = ("name", "listen", "cores", "memory", "sockets", "settings", "connect_within", "idle_for")
 
 
 class Driver:
@@ -76,7 +75,15 @@
         self.members.heard = self._heard
         self.members.forgotten = self._forgotten
         self.members.say = lines.say
-        self.catalog = self._catalog(config)
+        self.catalog = Catalog(
+            reactor,
+            self.clock,
+            config.discovery,
+            wall,
+            lambda: self.membership.revision,
+            self._take,
+            self._troubled,
+        )
         self.port: Any = None
         self.trouble = ""
 
@@ -101,18 +108,6 @@
 
     # Discovery
 
-    def _catalog(self, config: Config) -> Catalog:
-        return Catalog(
-            self.reactor,
-            self.clock,
-            config.discovery,
-            self.wall,
-            lambda: self.membership.revision,
-            self._take,
-            self._troubled,
-            config.seed,
-        )
-
     def _take(self, version: Version, remembered: bool = False) -> None:
         self.trouble = ""
         told = self.membership.take(version, remembered)
@@ -146,32 +141,33 @@
     # Signals
 
     def reload(self, config: Config) -> None:
-        """Take a new configuration: discovery moves, from the version held; the old watch ends after."""
-        old, self.config = self.catalog, config
-        self.catalog = self._catalog(config)
-        self.catalog.start()
-        self.clock.call_later(1.0, old.stop)
+        """Take a new configuration: discovery moves, from the version held. What else differs is said."""
+        held = self.config
+        kept = [name for name in NEEDS_RESTART if getattr(config, name) != getattr(held, name)]
+        self.config = dataclasses.replace(held, discovery=config.discovery)
+        self.catalog.move(config.discovery)
         self.lines.say("reloaded", discovery="{}:{}".format(*config.discovery))
+        if kept:
+            self.lines.say("reload.kept", fields=",".join(kept), why="they take a restart")
 
     def stop(self, done: Callable[[], None]) -> None:
-        """End in order; calls back once nothing is owed.
-
-        Clients go on with the connections they hold, and for many there is no other driver, so those are
-        served for as long as an answer is sure to leave; what comes late has less time, or is refused.
-        """
-        began = self.clock.now()
-        longest = max(c.deadline for c in self.config.settings.classes)
-        last = began + min(longest, LONGEST) + BEYOND - STOP_MARGIN
-        self.front.answered_by, self.front.closing_from = last, last - LAST_CLOSE
+        """End in order; calls back once nothing is owed. The times are `decide/ending.py`'s."""
+        now = self.clock.now()
+        ending = Ending(now, max(c.deadline for c in self.config.settings.classes))
+        self.front.ends(ending)
+        self.engine.hurry(ending.answered_by)
         self.lines.say("stopping", owed=self.engine.ledger.owed, clients=len(self.front.connections))
 
         def look() -> None:
             now = self.clock.now()
-            if now >= began + STILL_COMING and self.port is not None:
+            if now >= ending.accepting_until and self.port is not None:
                 port, self.port = self.port, None
+                port.accept_all()
                 port.stopListening()
-            over = now >= last or (self.port is None and not self.front.connections)
-            if not over or self.engine.ledger.owed:
+            self.front.close_free()
+            if not ending.over(
+                now, self.port is not None, len(self.front.connections), self.engine.ledger.owed
+            ):
                 self.clock.call_later(STOP_LOOK, look)
                 return
             self.catalog.stop()
--- a/sedgepitch/settings.py
+++ b/sedgepitch/settings.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from sedgepitch import interface as api
@@ -23,6 +24,7 @@
     "deduplicated": api.Effect.KEYED,
     "at_most_once": api.Effect.UNSAFE,
 }
+SCOPE = {"all": api.Scope.ALL, "cell": api.Scope.CELL}
 CHECKS = {"silent": api.Checks.NONE, "bounce": api.Checks.BOUNCE, "await": api.Checks.AWAIT}
 MARKS = {"brought": api.Marks.CARRIED, "kept": api.Marks.REMEMBERED}
 
@@ -43,64 +45,113 @@
     return value
 
 
-def translate_class(raw: Wire, freshness: str, max_age: float) -> api.RequestClass:
-    """Turn one stated class into the policy's type."""
-    where = "setup.classes"
-    effect, scope = take(raw, "effect", str, where), str(raw.get("keyScope", "cell"))
-    if effect not in EFFECT:
-        raise BadSettings(f"{where}: field 'effect' has an unknown value")
-    if freshness not in FRESHNESS:
-        raise BadSettings("setup.specifics: field 'freshness' has an unknown value")
+def number(source: Wire, name: str, default: float, where: str, least: float = 0.0) -> float:
+    """Return a field that may be missing: a finite number of at least so much; raises BadSettings."""
+    value = source.get(name)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, NUMBER) or not math.isfinite(value):
+        raise BadSettings(f"{where}: field '{name}' is not a number")
+    if value < least:
+        raise BadSettings(f"{where}: field '{name}' is below {least:g}")
+    return float(value)
+
+
+def flag(source: Wire, name: str, where: str) -> bool:
+    """Return a field that may be missing and is true or false; raises BadSettings."""
+    value = source.get(name)
+    if value is not None and not isinstance(value, bool):
+        raise BadSettings(f"{where}: field '{name}' is neither true nor false")
+    return bool(value)
+
+
+def part(source: Wire, name: str) -> Wire:
+    """Return a part of the settings, empty where it is missing; raises BadSettings."""
+    value = source.get(name)
+    if value is not None and not isinstance(value, dict):
+        raise BadSettings(f"setup.{name}: not an object")
+    return value or {}
+
+
+def known(table: dict[str, Any], value: Any, where: str, other: Any = None) -> Any:
+    """Return what a word means, `other` for one that is not known; raises BadSettings where there is none."""
+    if not isinstance(value, str):
+        raise BadSettings(f"{where} is not a word")
+    if value not in table and other is not None:
+        return other
+    if value not in table:
+        raise BadSettings(f"{where} has an unknown value")
+    return table[value]
+
+
+def translate_class(raw: Wire, freshness: str, max_age: float, where: str) -> api.RequestClass:
+    """Turn one stated class into the policy's type; raises BadSettings."""
+    if not isinstance(raw, dict):
+        raise BadSettings(f"{where}: not an object")
+    aim, deadline = (take(raw, name, NUMBER, where) for name in ("objectiveS", "deadlineS"))
+    for name, value in (("objectiveS", aim), ("deadlineS", deadline)):
+        if not 0.0 < value < math.inf:
+            raise BadSettings(f"{where}: field '{name}' must be a number above 0")
     return api.RequestClass(
         name=take(raw, "name", str, where),
-        aim=take(raw, "objectiveS", NUMBER, where),
-        deadline=take(raw, "deadlineS", NUMBER, where),
-        worth=raw.get("importance", 1.0),
-        late_worth=raw.get("lateWorth", 0.0),
-        effect=EFFECT[effect],
-        scope=api.Scope.ALL if scope == "all" else api.Scope.CELL,
-        window=raw.get("windowS", 0.0),
-        freshness=FRESHNESS[freshness],
+        aim=aim,
+        deadline=deadline,
+        worth=number(raw, "importance", 1.0, where),
+        late_worth=number(raw, "lateWorth", 0.0, where),
+        effect=known(EFFECT, take(raw, "effect", str, where), f"{where}: field 'effect'"),
+        scope=known(SCOPE, raw.get("keyScope") or "cell", f"{where}: field 'keyScope'", api.Scope.CELL),
+        window=number(raw, "windowS", 0.0, where),
+        freshness=known(FRESHNESS, freshness, "setup.specifics: field 'freshness'"),
         max_age=max_age,
     )
 
 
 def translate_settings(raw: Wire) -> api.Settings:
-    """Turn the set-up message into the policy's settings."""
-    specifics, limits = raw.get("specifics", {}), raw.get("limits", {})
-    rules, stats = raw.get("rules", {}), raw.get("stats", {})
+    """Turn the set-up message into the policy's settings; raises BadSettings, which names the field."""
+    specifics, limits = part(raw, "specifics"), part(raw, "limits")
+    rules, stats = part(raw, "rules"), part(raw, "stats")
     classes = take(raw, "classes", list, "setup")
     kinds = specifics.get("freshness", ["mutate"] * len(classes))
     ages = specifics.get("maxAgeS", [0.0] * len(classes))
+    if not isinstance(kinds, list) or not isinstance(ages, list):
+        raise BadSettings("setup.specifics: 'freshness' and 'maxAgeS' must be lists")
     if len(kinds) != len(classes) or len(ages) != len(classes):
         raise BadSettings("setup.specifics: 'freshness' and 'maxAgeS' must match the classes")
+    translated = []
+    for index, (stated, kind, age) in enumerate(zip(classes, kinds, ages, strict=True)):
+        bound = number({"maxAgeS": age}, "maxAgeS", 0.0, "setup.specifics")
+        translated.append(translate_class(stated, kind, bound, f"setup.classes[{index}]"))
+    if len({c.name for c in translated}) != len(translated):
+        raise BadSettings("setup.classes: two classes of one name")
+    behind, marks = specifics.get("behind") or "silent", specifics.get("sessionMarks") or "brought"
+    where, ours = "setup.rules", "setup.specifics: field"
     return api.Settings(
-        classes=tuple(translate_class(c, k, a) for c, k, a in zip(classes, kinds, ages, strict=True)),
+        classes=tuple(translated),
         zone=str(raw.get("az", "")),
-        tick=raw.get("tickS", 0.001),
-        drivers=raw.get("groupSize", 1),
+        tick=number(raw, "tickS", 0.001, "setup"),
+        drivers=int(number(raw, "groupSize", 1, "setup")),
         rules=api.Rules(
-            answer_slack=rules.get("answerSlackS", 0.0),
-            drain_grace=rules.get("drainGraceS", 0.0),
-            overload_factor=rules.get("overloadFactor", 1.0),
-            overload_time=rules.get("fallS", 1.0),
-            start_capacity=rules.get("startCapacity", 1.0),
-            warm_within=rules.get("warmWithinS", 0.0),
-            ask_within=rules.get("askWithinS", 0.0),
+            answer_slack=number(rules, "answerSlackS", 0.0, where),
+            drain_grace=number(rules, "drainGraceS", 0.0, where),
+            overload_factor=number(rules, "overloadFactor", 1.0, where),
+            overload_time=number(rules, "fallS", 1.0, where),
+            start_capacity=number(rules, "startCapacity", 1.0, where),
+            warm_within=number(rules, "warmWithinS", 0.0, where),
+            ask_within=number(rules, "askWithinS", 0.0, where),
         ),
-        checks=CHECKS.get(specifics.get("behind"), api.Checks.NONE),
-        marks=MARKS.get(specifics.get("sessionMarks"), api.Marks.CARRIED),
-        patience=specifics.get("patienceS", 0.0),
+        checks=known(CHECKS, behind, f"{ours} 'behind'", api.Checks.NONE),
+        marks=known(MARKS, marks, f"{ours} 'sessionMarks'", api.Marks.CARRIED),
+        patience=number(specifics, "patienceS", 0.0, "setup.specifics"),
         subscribe=raw.get("registryMode") == "subscribe",
-        probes=bool(limits.get("probes", False)),
+        probes=flag(limits, "probes", "setup.limits"),
         reports_in_answers=stats.get("how") == "piggyback",
         reports_position=stats.get("how") != "silent" and "x0" in stats.get("fields", ()),
         list_names_primary=specifics.get("roleInList", "silent") != "silent",
-        most_attempts=limits.get("mostTries", 1),
-        second_copies=bool(limits.get("secondCopies", False)),
-        cancel=bool(limits.get("cancel", False)),
-        come_back=bool(limits.get("retryAfter", False)),
-        max_come_back=limits.get("maxRetryAfterS", 0.0),
+        most_attempts=int(number(limits, "mostTries", 1, "setup.limits", 1)),
+        second_copies=flag(limits, "secondCopies", "setup.limits"),
+        cancel=flag(limits, "cancel", "setup.limits"),
+        come_back=flag(limits, "retryAfter", "setup.limits"),
+        max_come_back=number(limits, "maxRetryAfterS", 0.0, "setup.limits"),
     )
 
 
--- a/tests/front.py
+++ b/tests/front.py
@@ -38,6 +38,9 @@
     def abandon(self) -> None:
         self.abandoned = True
 
+    def begun(self) -> bool:
+        return True
+
     def withdraw(self) -> bool:
         return False
 
--- a/tests/test_growth.py
+++ b/tests/test_growth.py
@@ -6,7 +6,7 @@
 import time
 
 from sedgepitch import interface as api
-from sedgepitch.fleet import catalog
+from sedgepitch.decide import watches
 from sedgepitch.interface import Result, State
 from tests.helpers import Rig, listing, sends
 from tests.pg import Stage, read, write
@@ -160,5 +160,6 @@
         platform.close()
 
 
-def test_the_silence_that_ends_a_watch_is_longer_than_discoverys_own_pause():
-    assert catalog.SILENT > 2.0 * 2.0  # an empty line comes each 2 s
+def test_a_silence_is_longer_than_a_beat_and_two_more_watches_are_asked_before_it_counts_as_told():
+    assert watches.QUIET * watches.BEAT > 1.25 * watches.BEAT
+    assert watches.QUIET * watches.BEAT + 2.0 * watches.ANSWER_WITHIN < 6.0  # the platform's page
--- a/tests/test_pg_client.py
+++ b/tests/test_pg_client.py
@@ -247,8 +247,8 @@
     stage.turn()
     assert errors(late_wire)[0]["C"] == "53300" and len(stage.members.sent) <= 2
     assert [k for k, _ in messages(early_wire.value())] == [b"E", b"Z"], "its time was cut, and it is told"
-    stage.pass_by(0.3)
-    assert idle.disconnecting
+    stage.front.close_free()
+    assert idle.half_closed and not idle.aborted, "ended in order, what it still takes arrives"
 
 
 def test_a_newcomer_that_has_not_spoken_yet_does_not_go_for_the_next_while_others_are_idle():
