Crossings forced by order: tests of leaving unread, ends, watches, lanes and list changes

Causes found by the generated walks and by reading, mended here: - core/engine.py `_time_up`: the last guard stood at the deadline plus 20 ms, so a driver that had stood still for longer reached it in the same breath as it told the module, and answered for it (`overdue`). It now waits from what is judged. - fronts/postgres/client.py `connectionMade`, `advance`: a resting client whose request lay unread could go for a newcomer, and its request with it. It is looked at first. - decide/membership.py: a whole list of an earlier version took back what a later one had told draining. It stays so until the member has started again or a change names it. Tests: watches (8 of them walks or tables), leaving behind 64 KiB ahead by close and reset, read late, waiting in the module; ids that come again; room and ends with requests unread; connections given up, moved, taken back by the list; every order of a lane's events; 120 orders of answer, reset, time, leaving and list, with and without a turn between.

--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -206,7 +206,7 @@
             if account is None:
                 continue
             if account.open:
-                self._time_up(account)
+                self._time_up(account, until)
                 continue
             # Answered long since, but an attempt still hangs: it ends with the client's time like any other.
             # Else a member that went silent would hold it for ever, and the module count it as under way.
@@ -459,13 +459,17 @@
             account.out[attempt][2].abandon()
             self._attempt_ended(account, attempt, AttemptEnd(Result.TIMEOUT, why=why))
 
-    def _time_up(self, account: Account) -> None:
-        """The client's time is up: every attempt has timed out, and the module gives what answer is owed."""
+    def _time_up(self, account: Account, until: float) -> None:
+        """The client's time is up: every attempt has timed out, and the module gives what answer is owed.
+
+        The last guard waits from `until` on, what is judged now: a driver that stood still past the deadline
+        would come to it in the same breath, before the module was asked.
+        """
         if account.ending or account.pinned or self._early(account):
             self._last_guard(account)
             return
         account.ending = True
-        heappush(self.deadlines, (account.deadline + OVERDUE, account.id))
+        heappush(self.deadlines, (max(account.deadline, until) + OVERDUE, account.id))
         for attempt in list(account.out):
             self._expire(account, attempt, "no answer in the client's time")
 
--- a/sedgepitch/decide/membership.py
+++ b/sedgepitch/decide/membership.py
@@ -2,7 +2,10 @@
 
 Sources tell whole lists and changes, each with a version. A change counts if it is newer than what is held;
 one that is not has been told already. A whole list always counts: whoever tells it says that all else is
-void, so a version that went back (a source that lost its memory) is taken as it is. Members are named by
+void, so a version that went back (a source that lost its memory, or one that lags behind the one before) is
+taken, too. But what was told ending, draining or removed, by a later version stays so there until it has
+started again or a change names it: a lagging list says nothing of a member that it has not heard of yet, and
+a request sent to one that ends breaks a rule, where one not sent only costs room. Members are named by
 strings there and by numbers in the module; the number is made of the name alone, so that every driver and
 every start of one uses the same, and is kept for as long as the name is listed or in use here.
 """
@@ -43,7 +46,7 @@
 class Membership:
     """What this driver holds of the list. Pure; names that are let go are forgotten wholly."""
 
-    __slots__ = ("addresses", "names", "numbers", "present", "revision")
+    __slots__ = ("addresses", "ending", "names", "numbers", "present", "revision")
 
     def __init__(self) -> None:
         self.revision = 0
@@ -51,17 +54,19 @@
         self.names: dict[int, str] = {}
         self.addresses: dict[int, Address] = {}
         self.present: set[int] = set()
+        self.ending: dict[str, float] = {}  # those told draining or removed, and when they had started
 
     def take(self, version: Version, remembered: bool = False) -> Members | None:
         """Take a version; returns what the module is to hear, None where it says nothing new.
 
         A remembered list gives members but no version: it may be out of date.
         """
+        back = not remembered and version.revision < self.revision
         if not remembered:
             if not version.complete and version.revision <= self.revision:
                 return None
             self.revision = version.revision
-        listings = tuple(self._listing(entry) for entry in version.entries)
+        listings = tuple(self._listing(entry, back) for entry in version.entries)
         if version.complete:
             self.present = set()
         for listing in listings:
@@ -74,10 +79,19 @@
     def forget(self, number: int) -> None:
         """Nothing here uses a member any more; its name goes unless it is listed."""
         if number not in self.present and number in self.names:
-            del self.numbers[self.names.pop(number)]
+            name = self.names.pop(number)
+            del self.numbers[name]
+            self.ending.pop(name, None)
             self.addresses.pop(number, None)
 
-    def _listing(self, entry: Entry) -> Listing:
+    def _listing(self, entry: Entry, back: bool) -> Listing:
+        state = entry.state
+        if state is not State.UP:
+            self.ending[entry.name] = entry.started
+        elif back and entry.name in self.ending and entry.started <= self.ending[entry.name]:
+            state = State.DRAINING
+        else:
+            self.ending.pop(entry.name, None)
         number = self.numbers.get(entry.name)
         if number is None:
             number = crc32(entry.name.encode("utf-8", "replace"))
@@ -85,4 +99,4 @@
                 number = (number + 1) & 0xFFFFFFFF
             self.numbers[entry.name], self.names[number] = number, entry.name
         self.addresses[number] = entry.address
-        return Listing(number, entry.group, entry.state, entry.zone, entry.primary, entry.size, entry.started)
+        return Listing(number, entry.group, state, entry.zone, entry.primary, entry.size, entry.started)
--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -75,6 +75,13 @@
         """This driver ends: from now on times are cut to that."""
         self.closing_from, self.answered_by = ending.closing_from, ending.answered_by
 
+    def room_from(self, newcomer: ClientConnection, now: float) -> ClientConnection:
+        """Who goes for a newcomer: never one whose request lies unread, which would be lost with it."""
+        while (goes := self.visitors.make_room(now)) is not None:
+            if transport.quiet(goes.transport):
+                return goes
+        return newcomer
+
     def close_free(self) -> None:
         """Where it is time, close whoever has nothing under way."""
         now = self.clock.now()
@@ -129,7 +136,7 @@
         front.connections.add(self)
         now = front.clock.now()
         if not front.descriptors.client_came():
-            goes = front.visitors.make_room(now) or self
+            goes = front.room_from(self, now)
             goes.transport.abortConnection()
             if goes is self:
                 return
@@ -180,7 +187,8 @@
         if not self.greeted or self.reader.held:
             front.visitors.unfinished(self, front.clock.now())
         elif (goes := front.visitors.rests(self, front.clock.now())) is not None:
-            goes.end(b"")
+            if transport.quiet(goes.transport):
+                goes.end(b"")
 
     def _greet(self) -> None:
         while (found := self.reader.startup()) is not None:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,483 @@
+"""Events that come between a decision and its effect, forced by order; peers on real loopback sockets."""
+
+from __future__ import annotations
+
+import itertools
+import socket
+import struct
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.task import Clock
+
+from sedgepitch import interface as api
+from sedgepitch.core.clock import FakeClock
+from sedgepitch.core.pool import Pool, PoolLimits
+from sedgepitch.core.types import AttemptEnd
+from sedgepitch.decide.descriptors import Descriptors
+from sedgepitch.decide.ending import Ending
+from sedgepitch.fronts.postgres import client, codec
+from sedgepitch.interface import Result
+from tests.helpers import SETTINGS, listing
+from tests.pg import ROW, Stage, errors, messages, read, write
+
+RESET = struct.pack("ii", 1, 0)
+
+
+def peer(wire) -> socket.socket:
+    """Put a real connection under a played transport; returns the client's end."""
+    server = socket.create_server(("127.0.0.1", 0))
+    theirs = socket.create_connection(server.getsockname())
+    wire.socket, _ = server.accept()
+    wire.socket.setblocking(False)
+    server.close()
+    return theirs
+
+
+def leave(theirs: socket.socket, how: str) -> None:
+    """End the client's side."""
+    if how == "reset":
+        theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    theirs.close()
+
+
+def ahead(stage: Stage, connection, wire) -> int:
+    """Send statements ahead until the socket is left unread; returns how many."""
+    for number in itertools.count(100):
+        if wire.producerState != "producing":
+            return number - 100
+        connection.dataReceived(read(number, d="60000"))
+
+
+# A client that leaves while its socket is left unread (the term of 0.3 s)
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_client_that_leaves_behind_what_it_sent_ahead_is_noticed_and_nothing_more_is_sent(how):
+    stage = Stage()
+    connection, wire = stage.client()
+    theirs = peer(wire)
+    connection.dataReceived(read(1, d="60000"))
+    stage.turn()
+    assert ahead(stage, connection, wire) > 100
+    theirs.sendall(b"bytes that lie unread before the end")
+    leave(theirs, how)
+    stage.pass_by(0.25)
+    assert wire.aborted and stage.front.left_unread == 1
+    stage.answer(0)
+    stage.pass_by(1.0)
+    assert len(stage.members.sent) == 1, "what stood behind the first is not sent on"
+    connection.connectionLost()
+    assert not stage.engine.ledger.owed and not stage.front.unread and not stage.front.open_ids
+
+
+def test_what_is_sent_ahead_is_read_on_as_it_is_served_and_not_only_when_all_is_done():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(read(1, d="60000"))
+    stage.turn()
+    count = ahead(stage, connection, wire)
+    for _ in range(count):
+        stage.answer()
+        if wire.producerState == "producing":
+            break
+    assert wire.producerState == "producing" and client.READ_AHEAD / 4 < connection.reader.held
+
+
+def test_a_request_read_late_whose_client_has_left_is_not_sent():
+    stage = Stage()
+    connection, wire = stage.client()
+    leave(peer(wire), "close")
+    wire.arrived = stage.clock.now() - 0.4  # this driver stood still meanwhile
+    connection.dataReceived(read(1, d="5000"))
+    stage.pass_by(1.0)
+    assert not stage.members.sent and stage.front.left_waiting == 1
+
+
+def test_one_whose_client_is_still_there_is_sent_however_late_it_was_read():
+    stage = Stage()
+    connection, wire = stage.client()
+    theirs = peer(wire)
+    wire.arrived = stage.clock.now() - 0.4
+    connection.dataReceived(read(1, d="5000"))
+    stage.turn()
+    assert len(stage.members.sent) == 1
+    theirs.close()
+
+
+def test_a_client_that_leaves_while_its_request_waits_in_the_module_is_not_sent_later():
+    stage = Stage()
+    stage.engine.list_changed(api.Members((listing(1, state=api.State.DRAINING),), complete=True))
+    connection, _ = stage.client()
+    connection.dataReceived(write(1, d="5000"))
+    stage.turn()
+    assert not stage.members.sent
+    connection.connectionLost()
+    stage.engine.list_changed(api.Members((listing(1, primary=True),), complete=True))
+    stage.pass_by(1.0)
+    assert not stage.members.sent and not stage.engine.router.requests
+
+
+def test_an_id_that_comes_again_takes_the_place_of_one_whose_client_has_left_unsent():
+    stage = Stage()
+    stage.engine.list_changed(api.Members((listing(1, state=api.State.DRAINING),), complete=True))
+    (old, old_wire), (new, new_wire) = stage.client(), stage.client()
+    theirs = peer(old_wire)
+    old.dataReceived(write(1, d="5000"))
+    stage.turn()
+    new.dataReceived(write(1, d="5000"))
+    assert len(errors(new_wire)) == 1, "the old one is still there"
+    leave(theirs, "close")  # its end lies unread
+    new.dataReceived(write(1, d="5000"))
+    stage.turn()
+    assert len(errors(new_wire)) == 1 and old_wire.aborted and not errors(old_wire)
+    old.connectionLost()
+    assert stage.front.open_ids == {b"1": new} and stage.engine.ledger.owed == 1
+
+
+# Room for newcomers, and the end of a driver
+
+
+def test_no_resting_client_whose_request_lies_unread_goes_for_a_newcomer():
+    stage = Stage(sockets=40)
+    for number in range(stage.descriptors.clients_most - 2):
+        stage.client()[0].dataReceived(read(number + 1))
+    stage.turn()
+    (_, first), (_, second) = stage.client(), stage.client()
+    theirs = peer(first)
+    theirs.sendall(read(77))
+    stage.client(greet=False)
+    assert [first.aborted, second.aborted] == [False, True]
+    theirs.close()
+
+
+def test_a_driver_that_ends_closes_no_client_whose_request_lies_unread():
+    stage = Stage()
+    connection, wire = stage.client()
+    _, idle = stage.client()
+    theirs, others = peer(wire), peer(idle)
+    stage.front.ends(Ending(stage.clock.now() - 10.0, 1.0))
+    theirs.sendall(read(1))
+    stage.front.close_free()
+    assert idle.half_closed and not wire.half_closed and not wire.aborted
+    wire.socket.recv(4096)
+    connection.dataReceived(read(1))
+    stage.turn()
+    assert [e["C"] for e in errors(wire)] == ["53300"], "too late to be served, but answered"
+    stage.front.close_free()
+    assert wire.half_closed
+    for held in (theirs, others):
+        held.close()
+
+
+def test_a_driver_that_ends_answers_each_statement_of_those_sent_ahead():
+    stage = Stage()
+    connection, wire = stage.client()
+    connection.dataReceived(read(1, d="9000") + read(2, d="9000") + read(3, d="9000"))
+    stage.turn()
+    ending = Ending(stage.clock.now(), 0.5)
+    stage.front.ends(ending)
+    stage.engine.hurry(ending.answered_by)
+    while stage.clock.now() < ending.over_by:
+        stage.front.close_free()
+        stage.turn(0.02)
+    assert len(errors(wire)) == 3 and wire.half_closed and not stage.engine.ledger.owed
+    assert not stage.engine.overdue
+
+
+def test_a_request_taken_long_before_the_signal_is_answered_before_the_end():
+    for make, code in ((read, "53300"), (write, client.FAILED)):
+        stage = Stage()
+        connection, wire = stage.client()
+        connection.dataReceived(make(1, d="60000"))
+        stage.turn()
+        stage.engine.hurry(stage.clock.now() + 1.0)
+        stage.pass_by(1.05)
+        assert [e["C"] for e in errors(wire)] == [code]
+
+
+@pytest.mark.parametrize("longest", [0.05, 0.3, 1.0, 3.0, 60.0])
+def test_the_times_of_an_end_come_in_order_for_every_deadline(longest):
+    ending = Ending(100.0, longest)
+    times = [100.0, ending.accepting_until, ending.closing_from, ending.answered_by, ending.over_by]
+    assert times == sorted(times) and times[-1] < 100.0 + min(3.0, longest) + 0.7
+    assert not ending.over(ending.over_by + 9.0, False, 0, owed=1)
+    assert ending.over(101.0, listening=False, connections=0, owed=0)
+    assert not ending.over(100.1, listening=True, connections=0, owed=0)
+
+
+# Waiting for a connection to a member
+
+
+class Opened:
+    """A connection as the pool sees it."""
+
+    def __init__(self) -> None:
+        self.started, self.closed = [], False
+
+    def start(self, payload, done) -> None:
+        self.started.append((payload, done))
+
+    def close(self) -> None:
+        self.closed = True
+
+    def unsent(self) -> int:
+        return 0
+
+    def usable(self) -> bool:
+        return not self.closed
+
+
+class Doorway:
+    """What opens connections, played by the test."""
+
+    def __init__(self) -> None:
+        self.asked = []
+        self.given_up = 0
+
+    def __call__(self, ready, failed, lost):
+        self.asked.append((ready, failed, lost))
+
+        def give_up() -> None:
+            self.given_up += 1
+
+        return give_up
+
+
+class PooledMembers:
+    """Members behind real pools whose connections come when the test says so."""
+
+    def __init__(self, clock, limits: PoolLimits) -> None:
+        self.doorways: dict[int, Doorway] = {}
+        self.pools: dict[int, Pool] = {}
+        self.room = Descriptors(256)
+        self.clock, self.limits = clock, limits
+
+    def pool(self, member: int) -> Pool:
+        if member not in self.pools:
+            self.doorways[member] = Doorway()
+            self.pools[member] = Pool(
+                self.clock, self.doorways[member], lambda e, r: r, self.limits, self.room
+            )
+        return self.pools[member]
+
+    def send(self, member, payload, on_end, by):
+        return self.pool(member).send(payload, on_end, by)
+
+    def probe(self, member, on_end):
+        on_end(AttemptEnd(Result.OK, report=api.Report(0.0, False)))
+
+    def close_idle(self, member):
+        self.pool(member).close_idle()
+
+    def listed(self, listings, complete):
+        pass
+
+
+def pooled(settings: api.Settings = SETTINGS) -> tuple[Stage, PooledMembers]:
+    """A stage whose members stand behind pools."""
+    stage = Stage(settings)
+    members = PooledMembers(stage.clock, PoolLimits(connect_within=5.0, linger=0.0))
+    stage.engine.members = members
+    return stage, members
+
+
+@pytest.mark.parametrize("told", ["draining", "gone", "missing", "restarted"])
+def test_what_waits_for_a_connection_is_taken_back_when_the_list_says_so(told):
+    stage, members = pooled()
+    connection, wire = stage.client()
+    connection.dataReceived(write(1, d="5000"))
+    stage.turn()
+    (opening,) = members.doorways[1].asked
+    state = {"draining": api.State.DRAINING, "gone": api.State.GONE}.get(told, api.State.UP)
+    if told == "missing":
+        stage.engine.list_changed(api.Members((listing(2), listing(3)), complete=True))
+    else:
+        started = stage.clock.now() if told == "restarted" else 0.0
+        changed = replace(listing(1, primary=True), state=state, started=started)
+        stage.engine.list_changed(api.Members((changed,), complete=False))
+    stage.turn()
+    opened = Opened()
+    opening[0](opened)
+    stage.turn()
+    sent_again = told == "restarted" and bool(opened.started)  # decided anew, for the new process
+    assert not opened.started or sent_again
+    connection.connectionLost()
+    stage.turn()
+    assert stage.engine.ledger.owed == 0
+
+
+def test_a_member_that_moved_gets_nothing_at_its_old_place():
+    task = Clock()
+    room, ends, doorway = Descriptors(256), [], Doorway()
+    pool = Pool(FakeClock(task), doorway, lambda e, r: r, PoolLimits(), room)
+    pool.send("request", ends.append)
+    pool.retire()
+    assert [e.result for e in ends] == [Result.NOT_SENT] and doorway.given_up == 1
+    opened = Opened()
+    doorway.asked[0][0](opened)
+    assert opened.closed and not opened.started and room.members == 0
+
+
+def test_a_connection_given_up_and_greeted_all_the_same_is_closed_and_owned_by_nobody():
+    task = Clock()
+    room, ends, doorway = Descriptors(256), [], Doorway()
+    pool = Pool(FakeClock(task), doorway, lambda e, r: r, PoolLimits(connect_within=0.25), room)
+    pool.send("request", ends.append)
+    task.advance(0.3)
+    assert [e.result for e in ends] == [Result.CONNECT_FAILED] and room.members == 0
+    opened = Opened()
+    ready, failed, lost = doorway.asked[0]
+    ready(opened)
+    assert opened.closed and not opened.started and not pool.idle
+    lost("closed here")
+    failed("late")
+    assert room.members == 0 and not pool.lanes and len(ends) == 1
+
+
+LANE_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["send", "ready", "failed", "answer", "lost", "abandon", "withdraw", "wait", "retire", "idle"]
+        ),
+        st.integers(0, 7),
+    ),
+    max_size=60,
+)
+
+
+@given(LANE_STEPS, st.sampled_from([0.0, 1.0]))
+def test_every_order_of_a_connections_events_tells_one_end_and_leaves_no_descriptor(steps, linger):
+    task = Clock()
+    room, doorway = Descriptors(64), Doorway()
+    limits = PoolLimits(most=4, connect_within=0.25, idle_for=2.0, linger=linger)
+    pool = Pool(FakeClock(task), doorway, lambda e, r: AttemptEnd(Result.OK), limits, room)
+    exchanges, ends, opened, over = [], [], {}, set()
+
+    def alive(which):
+        held = [n for n in opened if n not in over]
+        return held[which % len(held)] if held else None
+
+    for step, which in steps:
+        if step == "send":
+            number = len(exchanges)
+            ends.append([])
+            exchanges.append(pool.send(number, ends[number].append))
+        elif step in ("ready", "failed"):
+            waiting = [n for n in range(len(doorway.asked)) if n not in opened and n not in over]
+            if waiting:
+                number = waiting[which % len(waiting)]
+                if step == "ready":
+                    opened[number] = Opened()
+                    doorway.asked[number][0](opened[number])
+                else:
+                    over.add(number)
+                    doorway.asked[number][1]("refused")
+        elif step == "answer":
+            number = alive(which)
+            if number is not None and opened[number].started and not opened[number].closed:
+                opened[number].started.pop()[1]("reply")
+        elif step == "lost":
+            number = alive(which)
+            if number is not None:
+                over.add(number)
+                doorway.asked[number][2]("ended")
+        elif step == "abandon" and exchanges:
+            exchanges[which % len(exchanges)].abandon()
+        elif step == "withdraw" and exchanges:
+            exchanges[which % len(exchanges)].withdraw()
+        elif step == "retire" and which == 0:
+            pool.retire()
+        elif step == "idle":
+            pool.close_idle()
+        else:
+            task.advance(0.1 * which)
+        assert all(len(x) <= 1 for x in ends)
+        assert 0 <= room.members <= limits.most
+        assert all(len(x.started) <= 1 for x in opened.values())
+    pool.close()
+    task.advance(5.0)
+    for number, held in opened.items():
+        if number not in over:
+            assert held.closed
+            doorway.asked[number][2]("closed here")
+    assert room.members == 0 and not pool.lanes and not pool.idle
+
+
+# All in one turn
+
+
+def happens(stage: Stage, connection, what: str) -> None:
+    """One of the events that may meet in a turn."""
+    if what == "answer":
+        for sent in stage.members.sent[:1]:
+            if not sent.abandoned:
+                sent.on_end(AttemptEnd(Result.OK, ROW))
+    elif what == "reset":
+        for sent in stage.members.sent[:1]:
+            if not sent.abandoned:
+                sent.on_end(AttemptEnd(Result.RESET))
+    elif what == "time":
+        stage.task.advance(0.5)
+    elif what == "leaves":
+        connection.connectionLost()
+    elif what == "drained":
+        drained = (listing(1, state=api.State.DRAINING), listing(2, state=api.State.DRAINING), listing(3))
+        stage.engine.list_changed(api.Members(drained, complete=True))
+
+
+@pytest.mark.parametrize("make", [read, write])
+@pytest.mark.parametrize("turns", [False, True])
+def test_answer_reset_time_leaving_and_list_in_every_order_owe_one_answer_and_send_nothing_after(make, turns):
+    for order in itertools.permutations(["answer", "reset", "time", "leaves", "drained"]):
+        stage = Stage()
+        connection, wire = stage.client()
+        connection.dataReceived(make(1, d="450"))
+        stage.turn()
+        left = False
+        for what in order:
+            happens(stage, connection, what)
+            if what == "leaves":
+                left, written, sent = True, wire.value(), len(stage.members.sent)
+            if turns:
+                stage.turn()
+        stage.pass_by(1.0)
+        assert left and wire.value() == written, order
+        assert len(stage.members.sent) == sent, order
+        answers = [k for k, _ in messages(wire.value()) if k == b"Z"]
+        assert len(answers) <= 1, order
+        held = stage.engine.ledger
+        assert held.owed == 0 and held.twice == 0 and not stage.engine.overdue, order
+        assert not stage.engine.router.requests, order
+
+
+def test_the_same_without_a_leaving_gives_exactly_one_answer():
+    for make in (read, write):
+        for order in itertools.permutations(["answer", "reset", "time", "drained"]):
+            stage = Stage()
+            connection, wire = stage.client()
+            connection.dataReceived(make(1, d="450"))
+            stage.turn()
+            for what in order:
+                happens(stage, connection, what)
+            stage.pass_by(1.5)
+            assert [k for k, _ in messages(wire.value())].count(b"Z") == 1, order
+            assert stage.engine.ledger.owed == 0 and stage.engine.ledger.twice == 0, order
+
+
+def test_bytes_of_a_peer_that_breaks_off_at_any_byte_cost_its_own_connection_only():
+    whole = codec.startup("web", "orders") + read(1) + read(2)
+    for cut in range(len(whole)):
+        stage = Stage()
+        bad, _ = stage.client(greet=False)
+        bad.dataReceived(whole[:cut])
+        stage.turn()
+        bad.connectionLost()
+        good, wire = stage.client()
+        good.dataReceived(read(9))
+        stage.turn()
+        stage.answer()
+        assert wire.value() == ROW + codec.READY
+        assert stage.descriptors.clients == 1 and stage.engine.ledger.owed == 0
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -31,6 +31,33 @@
     assert held.revision == 2 and len(held.present) == 1
 
 
+def told(held: Membership, *args) -> dict[str, State]:
+    """What the module hears, by name."""
+    return {held.names[x.member]: x.state for x in held.take(version(*args)).listings}
+
+
+def test_a_list_that_lags_behind_does_not_take_back_what_was_told_ending():
+    held = Membership()
+    held.take(version(1, True, entry("a"), entry("b")))
+    held.take(version(7, False, entry("a", State.DRAINING)))
+    assert told(held, 5, True, entry("a"), entry("b")) == {"a": State.DRAINING, "b": State.UP}
+    assert told(held, 6, False, entry("a")) == {"a": State.UP}, "a change names it"
+
+
+def test_a_member_that_started_again_is_up_whatever_version_says_so():
+    held = Membership()
+    held.take(version(7, True, entry("a", State.DRAINING)))
+    again = Entry("a", ("127.0.0.1", 1), "a", 1, State.UP, 1.0, 5.0, False)
+    assert told(held, 3, True, again) == {"a": State.UP}
+    assert not held.ending
+
+
+def test_a_later_whole_list_is_taken_as_it_is():
+    held = Membership()
+    held.take(version(7, True, entry("a", State.DRAINING)))
+    assert told(held, 8, True, entry("a")) == {"a": State.UP}
+
+
 def test_a_remembered_list_gives_members_but_no_version():
     held = Membership()
     assert held.take(version(41, True, entry("a")), remembered=True).remembered
--- /dev/null
+++ b/tests/test_watches.py
@@ -0,0 +1,187 @@
+"""Watches on the list: none is let go that can hear, few are held, and a source that is down is asked on."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sedgepitch.decide.watches import BEAT, FRESH, PAUSE, QUIET, Watches
+from sedgepitch.fleet import catalog
+from sedgepitch.fleet.catalog import BadVersion, Objects
+
+OBJECTS = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text() | st.sampled_from(['"', "\\", "{", "}", '\\"']),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=20,
+)
+
+
+# The stream of objects
+
+
+@given(
+    st.lists(st.dictionaries(st.text(), OBJECTS), max_size=4),
+    st.sampled_from([None, 1, 4]),
+    st.sampled_from(["", "\n", " \r\n\t"]),
+    st.lists(st.integers(1, 9), max_size=30),
+)
+def test_objects_come_whole_whatever_the_white_space_and_the_pieces(told, indent, between, cuts):
+    data = "".join(between + json.dumps(x, indent=indent, ensure_ascii=False) + between for x in told)
+    raw, held, found = data.encode("utf-8", "surrogatepass"), Objects(), []
+    for size in [*cuts, len(raw)]:
+        piece, raw = raw[:size], raw[size:]
+        found += [json.loads(x) for x in held.feed(piece)]
+    assert found == told and not held.begun
+
+
+@pytest.mark.parametrize("junk", [b"not json", b"[1]", b'"x"', b"}", b"\0", b'{"a":1},{"a":2}'])
+def test_what_is_no_object_is_an_error_and_what_came_before_it_counts(junk):
+    held, found = Objects(), []
+    with pytest.raises(BadVersion):
+        for whole in held.feed(b'{"a":1}\n' + junk):
+            found.append(whole)
+    assert found[0] == b'{"a":1}'
+
+
+def test_an_object_without_end_is_an_error_at_its_bound(monkeypatch):
+    monkeypatch.setattr(catalog, "MOST_OBJECT", 1000)
+    held = Objects()
+    assert list(held.feed(b'{"a":"')) == []
+    with pytest.raises(BadVersion, match="1000"):
+        for _ in range(1001):
+            list(held.feed(b"x"))
+
+
+def test_each_byte_is_looked_at_once():
+    held, looked = Objects(), 0
+
+    class Counting:
+        def __init__(self, pattern):
+            self.pattern = pattern
+
+        def search(self, data, at=0):
+            nonlocal looked
+            found = self.pattern.search(data, at)
+            looked += (found.end() if found else len(data)) - at
+            return found
+
+    for name in ("_INSIDE", "_STRING", "_OUTSIDE"):
+        setattr(held, name, Counting(getattr(Objects, name)))
+    data = json.dumps({"members": [{"id": "s" * 50, "n": [1, {}]} for _ in range(200)]}, indent=2).encode()
+    for byte in data:
+        list(held.feed(bytes([byte])))
+    assert looked <= 2 * len(data)
+
+
+# Which watches are held
+
+
+def test_a_silent_watch_is_held_until_another_has_spoken():
+    held: Watches[str] = Watches()
+    held.opened("a", 0.0)
+    assert held.sign("a", 0.0) == []
+    due = held.due()
+    assert due == QUIET * BEAT and held.opens(due) and not held.opens(due - 0.01)
+    assert held.opened("b", due) == []
+    assert held.holds("a") and held.holds("b")
+    assert held.sign("b", due + 0.1) == ["a"] and held.heard == "b"
+
+
+def test_a_silent_watch_that_speaks_again_ends_nothing():
+    held: Watches[str] = Watches()
+    held.opened("a", 0.0)
+    held.sign("a", 0.0)
+    held.opened("b", 3.0)
+    assert held.sign("a", 3.1) == []
+    assert held.holds("a") and held.holds("b")
+
+
+def test_one_that_is_answered_but_has_nothing_to_say_is_given_a_beat():
+    held: Watches[str] = Watches()
+    held.opened("a", 0.0)
+    held.answered("a", 0.1)
+    assert held.due() >= 0.1 + BEAT
+
+
+def test_part_of_an_object_is_a_sign_but_not_for_ever():
+    held: Watches[str] = Watches()
+    held.opened("a", 0.0)
+    held.sign("a", 0.0)
+    held.stirs("a", 1.0, 2.0)
+    assert held.due() == 2.0 + QUIET * BEAT
+    held.stirs("a", 1.0, 1.0 + QUIET * BEAT)
+    assert held.due() == 2.0 + QUIET * BEAT
+
+
+def test_moved_keeps_the_one_that_is_heard_and_drops_those_that_wait_at_the_old_place():
+    held: Watches[str] = Watches()
+    held.opened("a", 0.0)
+    held.sign("a", 0.0)
+    held.opened("b", 3.0)
+    assert held.moved() == ["b"] and held.holds("a") and held.opens(3.0)
+    held.opened("c", 3.0)
+    held.lost("c", 3.1)  # the new place refuses
+    assert held.holds("a") and held.due() < 3.5
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["answered", "sign", "stirs", "lost", "moved", "wait", "wait", "wait"]),
+        st.integers(0, 3),
+        st.floats(0.0, 2.5),
+    ),
+    max_size=60,
+)
+
+
+@given(STEPS)
+def test_every_order_of_events_leaves_a_watch_that_can_hear_or_one_about_to_be_opened(steps):
+    """The owner as it is: opens when told, closes what it is told to. Judged after each event."""
+    held: Watches[int] = Watches()
+    now, number, opened_at = 0.0, 0, []
+    held.opened(number, now)
+    for step, which, seconds in steps:
+        keys = held.all()
+        key = keys[which % len(keys)] if keys else -1
+        before, spoke = set(keys), held.heard
+        if step == "answered":
+            held.answered(key, now)
+        elif step == "sign":
+            gone = held.sign(key, now)
+            assert not gone or held.heard == key, "nothing goes but for one that has spoken"
+        elif step == "stirs":
+            held.stirs(key, now - seconds, now)
+        elif step == "lost":
+            held.lost(key, now)
+        elif step == "moved":
+            assert spoke not in held.moved()
+        else:
+            now += seconds
+        while held.opens(now):
+            number += 1
+            opened_at.append(now)
+            gone = held.opened(number, now)
+            assert held.heard not in gone and not (set(gone) - before)
+        assert len(held.all()) <= FRESH + 1
+        assert held.all() or held.due() <= now + PAUSE[1], "one that can hear, or soon another"
+        assert held.due() > now
+        assert held.due() <= now + QUIET * BEAT
+    asked = sum(step in ("lost", "moved") for step, _, _ in steps)
+    assert len(opened_at) <= asked + now / 0.05 + 2, "asked again by loss or time alone"
+
+
+@pytest.mark.parametrize("after", [0.0, 0.01, 0.9])
+def test_a_source_that_refuses_or_says_nothing_is_asked_steadily_and_not_without_pause(after):
+    held: Watches[int] = Watches()
+    now, opened = 0.0, 0
+    while now < 20.0:
+        if held.opens(now):
+            opened += 1
+            held.opened(opened, now)
+            if after < 0.9:
+                held.lost(opened, now + after)
+        now += 0.01
+    assert 20 <= opened <= 70
