A client's end behind much that it sent ahead is seen; messages taken without copies

Seen: the process test of a client that sends 3,000 statements (260 kB) behind a hanging one and closes: the end was not noticed until the first was answered 15 s later, with poll asking for it every 0.1 s. Ruled out: the poll itself (with 100 kB it sees the end at once). Cause: with the socket left unread at 64 KiB the system's buffers fill, the peer's end waits behind them on the other side, and no call here can see it (client.py, READ_AHEAD). Change: sixteen clients may be read up to 512 KiB ahead, others are left unread at 64 KiB as before; fronts/postgres/codec.py keeps what came in one buffer, whatever the pieces, and takes messages by an offset (it copied the rest for each).

--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -28,7 +28,10 @@
 from sedgepitch.net import transport
 
 ANSWER_MARGIN = 0.015  # s before the client's time is up at which its answer is decided; more than a tick
-READ_AHEAD = 64 * 1024  # bytes that a client may send ahead before its socket is left unread
+READ_AHEAD = 64 * 1024  # bytes that any client may send ahead before its socket is left unread
+# A client's end stands behind all that it sent, and does not even arrive here while the system's buffers are
+# full of it. So a few may be read further, to see whether they are still there.
+FAR_AHEAD, FAR_CLIENTS = 512 * 1024, 16  # bytes; how many clients at once
 LOOK_EVERY = 0.1  # s between looks at who is too slow, and who has left unread
 LEFT_AFTER = 0.05  # s after which it is asked whether the client of what is now read is still there
 DRAIN = 256 * 1024  # bytes read and dropped behind an error, so that the error arrives
@@ -55,6 +58,7 @@
         self.connections: set[ClientConnection] = set()
         self.visitors: Visitors[ClientConnection] = Visitors(descriptors.clients_most)
         self.accepted = self.bad_messages = self.bad_statements = 0
+        self.far: set[ClientConnection] = set()  # that are read beyond READ_AHEAD
         self.unread: set[ClientConnection] = set()  # whose sockets are left unread for what they sent ahead
         self.left_unread = self.left_waiting = 0  # clients found gone behind bytes that were not read yet
         self.closing_from = float("inf")  # from then on connections without a request are closed
@@ -162,6 +166,9 @@
         self.reader.feed(data)
         self.advance()
         if self.busy and self.reader.held > READ_AHEAD and not self.stopped:
+            if self.reader.held <= FAR_AHEAD and (self in front.far or len(front.far) < FAR_CLIENTS):
+                front.far.add(self)
+                return
             self.stopped = True
             front.unread.add(self)
             self.transport.pauseProducing()
@@ -180,8 +187,10 @@
             front.bad_messages += 1
             self.end(codec.error(BROKEN, str(error), fatal=True))
             return
-        if self.stopped and not self.ending and self.reader.held <= READ_AHEAD // 2:
-            self._read_on()
+        if self.reader.held <= READ_AHEAD // 2:
+            front.far.discard(self)
+            if self.stopped and not self.ending:
+                self._read_on()
         if self.busy or self.ending:
             return
         if not self.greeted or self.reader.held:
@@ -259,6 +268,7 @@
         front.connections.discard(self)
         front.visitors.left(self)
         front.unread.discard(self)
+        front.far.discard(self)
         front.descriptors.client_left()
         self._forget_request()
 
--- a/sedgepitch/fronts/postgres/codec.py
+++ b/sedgepitch/fronts/postgres/codec.py
@@ -43,20 +43,20 @@
 class Reader:
     """Cuts a stream into messages. `bounds` tells what types may come, and how long each may be."""
 
-    __slots__ = ("_buffer", "_chunks", "_held", "_want", "bounds")
+    __slots__ = ("_at", "_buffer", "_held", "_more", "_want", "bounds")
 
     def __init__(self, bounds: Mapping[bytes, int]) -> None:
         self.bounds = bounds
-        self._buffer = b""
-        self._chunks: list[bytes] = []
+        self._buffer, self._at = b"", 0  # what is read, and from where on it has not been taken
+        self._more = bytearray()  # what came since
         self._held, self._want = 0, 5
 
     def feed(self, data: bytes) -> None:
-        """Take bytes; they are joined only when a message may be whole."""
+        """Take bytes; they are joined only when a message may be whole, whatever pieces they come in."""
         if self._held:
-            self._chunks.append(data)
+            self._more += data
         else:
-            self._buffer = data
+            self._buffer, self._at = data, 0
         self._held += len(data)
 
     @property
@@ -65,46 +65,54 @@
         return self._held
 
     def _join(self) -> bytes:
-        if self._chunks:
-            self._buffer = self._buffer + b"".join(self._chunks)
-            self._chunks = []
+        if self._more:
+            self._buffer = self._buffer[self._at :] + bytes(self._more)
+            self._at = 0
+            self._more.clear()
         return self._buffer
 
+    def _taken(self, end: int) -> None:
+        """All before `end` is taken; what is behind is not copied for each message."""
+        self._held -= end - self._at
+        self._at = end
+        if not self._held:
+            self._buffer, self._at = b"", 0
+
     def next(self) -> tuple[bytes, bytes] | None:
         """Return the next whole message as type and raw bytes, header included; raises BadMessage."""
         if self._held < self._want:
             return None
         data = self._join()
-        kind, length = _HEAD.unpack_from(data)
+        start = self._at
+        kind, length = _HEAD.unpack_from(data, start)
         most = self.bounds.get(kind)
         if most is None:
             raise BadMessage(f"message type {kind!r} is not served here")
         if not 4 <= length <= most:
             raise BadMessage(f"message {kind!r} of {length} bytes, {most} at most")
-        end = length + 1
-        if self._held < end:
-            self._want = end
+        if self._held <= length:
+            self._want = length + 1
             return None
         self._want = 5
-        self._buffer = data[end:]
-        self._held -= end
-        return kind, data[:end]
+        end = start + length + 1
+        self._taken(end)
+        return kind, data[start:end]
 
     def startup(self) -> tuple[int, bytes] | None:
         """Return the first message of a connection as its code and body, None while it is not whole."""
         if self._held < 8:
             return None
         data = self._join()
-        length, code = _TWO.unpack_from(data)
+        start = self._at
+        length, code = _TWO.unpack_from(data, start)
         if not 8 <= length <= STARTUP:
             raise BadMessage(f"a startup message of {length} bytes")
         if code not in (SSL, GSS, CANCEL) and code >> 16 != VERSION:
             raise BadMessage(f"protocol {code >> 16}.{code & 0xFFFF} is not spoken here")
         if self._held < length:
             return None
-        self._buffer = data[length:]
-        self._held -= length
-        return code, data[8:length]
+        self._taken(start + length)
+        return code, data[start + 8 : start + length]
 
 
 def message(kind: bytes, body: bytes) -> bytes:
--- a/tests/transport_case.py
+++ b/tests/transport_case.py
@@ -100,6 +100,16 @@
 
             threading.Thread(target=ask, daemon=True).start()
             when(lambda: seen["data"], finish)
+        elif case == "accept_all":
+            before = len(held)
+            waiting = [socket.create_connection(("127.0.0.1", port.getHost().port)) for _ in range(40)]
+            port.numberAccepts = 16
+            port.accept_all()  # in this very turn, all of them wait
+            port.stopListening()
+            seen["accepted"] = len(held) - before
+            for one in waiting:
+                one.close()
+            finish()
         elif case == "stopped_reader":
 
             def read() -> None:
