--- a/sedgepitch/settings.py
+++ b/sedgepitch/settings.py
@@ -123,6 +123,9 @@
         translated.append(translate_class(stated, kind, bound, f"setup.classes[{index}]"))
     if len({c.name for c in translated}) != len(translated):
         raise BadSettings("setup.classes: two classes of one name")
+    fields = stats.get("fields") or ()
+    if not isinstance(fields, (list, tuple)):
+        raise BadSettings("setup.stats: field 'fields' is not a list")
     behind, marks = specifics.get("behind") or "silent", specifics.get("sessionMarks") or "brought"
     where, ours = "setup.rules", "setup.specifics: field"
     return api.Settings(
@@ -145,7 +148,7 @@
         subscribe=raw.get("registryMode") == "subscribe",
         probes=flag(limits, "probes", "setup.limits"),
         reports_in_answers=stats.get("how") == "piggyback",
-        reports_position=stats.get("how") != "silent" and "x0" in stats.get("fields", ()),
+        reports_position=stats.get("how") != "silent" and "x0" in fields,
         list_names_primary=specifics.get("roleInList", "silent") != "silent",
         most_attempts=int(number(limits, "mostTries", 1, "setup.limits", 1)),
         second_copies=flag(limits, "secondCopies", "setup.limits"),
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,78 @@
+"""Stated settings: what is wrong is one line with the field's place, what is missing has a default."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+import pytest
+
+from sedgepitch import interface as api
+from sedgepitch.node.config import BadConfig, parse
+from sedgepitch.settings import BadSettings, translate_settings
+from tests.platform import SETUP
+
+BAD = [
+    (("classes", 0, "deadlineS"), -1, "setup.classes[0]: field 'deadlineS'"),
+    (("classes", 1, "objectiveS"), float("nan"), "setup.classes[1]: field 'objectiveS'"),
+    (("classes", 1, "windowS"), "long", "setup.classes[1]: field 'windowS'"),
+    (("classes", 1, "effect"), "perhaps", "setup.classes[1]: field 'effect'"),
+    (("classes", 1), 7, "setup.classes[1]: not an object"),
+    (("classes", 1, "name"), "look", "two classes of one name"),
+    (("specifics", "freshness"), ["eventual"], "must match the classes"),
+    (("specifics", "maxAgeS"), [0, -1], "setup.specifics: field 'maxAgeS'"),
+    (("specifics", "maxAgeS"), 3, "must be lists"),
+    (("limits", "mostTries"), 0, "setup.limits: field 'mostTries'"),
+    (("limits", "probes"), "no", "setup.limits: field 'probes'"),
+    (("limits", "connectTimeoutS"), "soon", "limits: field 'connectTimeoutS'"),
+    (("limits", "idleCloseS"), float("inf"), "limits: field 'idleCloseS'"),
+    (("rules", "drainGraceS"), -0.5, "setup.rules: field 'drainGraceS'"),
+    (("rules",), [], "setup.rules: not an object"),
+    (("stats", "fields"), 5, "setup.stats: field 'fields'"),
+]
+
+
+def with_settings(settings: dict) -> str:
+    """A configuration file's text."""
+    told = {"name": "n", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": settings}
+    return json.dumps(told)
+
+
+@pytest.mark.parametrize(("path", "value", "says"), BAD)
+def test_a_wrong_setting_is_one_line_with_its_place(path, value, says):
+    settings = copy.deepcopy(SETUP)
+    part = settings
+    for step in path[:-1]:
+        part = part[step]
+    part[path[-1]] = value
+    with pytest.raises(BadConfig) as told:
+        parse(with_settings(settings), {}, 0.0)
+    assert says in str(told.value) and "\n" not in str(told.value)
+
+
+def test_what_is_missing_or_null_has_its_default_and_unknown_words_are_the_strictest():
+    settings = copy.deepcopy(SETUP)
+    settings["limits"] = {"mostTries": None, "idleCloseS": 0}
+    settings["rules"] = settings["stats"] = None
+    settings["specifics"] |= {"behind": "somehow", "sessionMarks": None}
+    settings["classes"][1]["keyScope"] = "shelf"
+    config = parse(with_settings(settings), {}, 0.0)
+    held = config.settings
+    assert (held.most_attempts, held.probes, held.come_back) == (1, False, False)
+    assert held.checks is api.Checks.NONE and held.marks is api.Marks.CARRIED
+    assert held.classes[1].scope is api.Scope.CELL
+    assert config.idle_for == 60.0 and config.connect_within == 1.0
+
+
+def test_an_effect_and_a_freshness_are_read_each_by_itself():
+    settings = copy.deepcopy(SETUP)
+    settings["classes"][0]["effect"] = "at_most_once"
+    settings["classes"][1]["effect"] = "idempotent"
+    read, write = translate_settings(settings).classes
+    assert (read.effect, read.freshness) == (api.Effect.UNSAFE, api.Freshness.ANY)
+    assert (write.effect, write.freshness) == (api.Effect.SAFE, api.Freshness.WRITE)
+
+
+def test_settings_without_classes_are_refused():
+    with pytest.raises((BadSettings, ValueError), match="class"):
+        translate_settings({"classes": []})
