A primary's room goes first to what it alone serves; scouting goes on where it stopped

Traces of 60 and of 210 drivers: of the writes that waited 22 % did so at a limit below one with nothing of their driver's under way (their luck is fixed, so till their time was up), most others behind bounded reads of their own driver; and when a fleet starts, or 70 % of it restarts, reads that no replica is known fresh for (no probes, a bound of 0.25 s) put one each on the primary: 300 under way, latency 3 to 5 s. Scouts: a request has most_attempts - 2 tries and each began anew at the lowest id, so a primary behind the first few was never found, and with one or two attempts (settings of other customers) none at all. Lines: policy.py may_send, choose, scout, learn; hedge copied a write that is safe to a replica that checks. Change: what only the primary serves counts its own kind there, and has a share of the time below a limit of one; reads come to a primary with a limit of one at least, by a chance that starts at half of the first limit in a large fleet. Tests: 13 new cases in tests/test_troubles.py, each fails before.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -77,6 +77,7 @@
         self.rest, self.rest_until = REST[0], 0.0
         self.trial, self.good_trials = None, 0
         self.limit, self.limit_at = start_limit, -NEVER  # own requests in flight
+        self.spare = 1.0  # as a primary: the chance of a read that might go elsewhere
         self.strain, self.cold_from = 0.0, -NEVER
         self.answers = self.breaks = self.gone_for = 0
         self.unreached = 0.0  # connections of late that did not come about
@@ -102,6 +103,7 @@
         self.waiting: list[Request] = []
         self.scout_at = self.seek_at = self.asked_at = -NEVER
         self.scout: int | None = None
+        self.scouted = -1  # the member tried last
         self.gap = 1.0  # s between this driver's requests for the group
         self.last: Request | None = None
         self.sessions: dict[str, float] = {}  # the last commit of each, as far as seen here
@@ -146,6 +148,7 @@
         self.asked, self.turned_away, self.not_before = 0, 0, 0.0
         self.erred: list[Member] = []
         self.worthy, self.luck = 1.0, luck
+        self.bound = cls.freshness in (Freshness.WRITE, Freshness.FRESH)  # to the primary
         late = cls.late_worth > 0 and cls.freshness is Freshness.WRITE
         self.give_up = self.until if late else min(self.until, now + WAIT * cls.aim)
 
@@ -167,6 +170,7 @@
         self.typical = aim * 0.2  # an answer's latency
         # A driver of a large fleet may have one request at a member, of whatever class.
         self.first_limit = max(1.0 / LEAST_WORTHY, LIMIT[1] / max(1, settings.drivers))
+        self.first_spare = min(1.0, max(LIMIT[0], SPARE * LIMIT[1] / max(1, settings.drivers)))
         self.wake_at, self.wakes, self.stalled = -NEVER, 0, False
         self.busy: dict[int, Member] = {}
         self.zone_strain: dict[str, float] = {}
@@ -234,6 +238,7 @@
         group = self.groups.setdefault(member.group if member else listing.group, Group())
         if member is None:
             member = self.members[listing.member] = Member(listing, self.first_limit)
+            member.spare = self.first_spare
             member.turn = self.random.random() ** (1.0 / member.size)  # the larger, the likelier early
             group.order.append(member)
             group.order.sort(key=lambda m: -m.turn)
@@ -340,8 +345,11 @@
         if late and (strained or result is Result.FULL) and now - member.limit_at > self.work[cls.name]:
             member.limit = max(LIMIT[0], min(member.limit, len(member.out) + 1.0) * BACK_OFF)
             member.limit_at = now
+            if self.first_spare < 1.0:
+                member.spare = max(LIMIT[0], member.spare * BACK_OFF)
         elif not late and len(member.out) + 1 > member.limit / 2:
             member.limit += max(GROW_LEAST, GROW * member.limit)
+            member.spare = min(1.0, member.spare + GROW_LEAST)
         if cls.freshness in (Freshness.BOUNDED, Freshness.ANY) and result is not Result.FULL:
             group.samples[member is group.primary].append(event.elapsed)
         if result is Result.OK and event.report and event.report.load:
@@ -435,7 +443,12 @@
             return False  # the answer would come too late to earn
         around = self.zone_strain.get(member.zone, 0.0) if self.now - member.last_answer > self.aim else 0.0
         ease = max(LIMIT[0], min(1.0, (1.0 - around) / (1.0 - SPARE)))
-        return len(member.out) + request.luck < member.limit * request.worthy * room * ease
+        share, under_way = member.limit * request.worthy * room * ease, len(member.out)
+        if request.bound:  # reads that may go elsewhere take no room from what may not
+            under_way = sum(other.bound for _, other, _ in member.out.values())
+            if not under_way and share < 1.0 and self.now - member.used_at > self.typical / share:
+                return True  # less than that share of the time
+        return under_way + request.luck < share
 
     def due(self, member: Member) -> bool:
         """Its rest is over and it may have a trial; a dead one is probed first, unless probes always fail."""
@@ -455,15 +468,14 @@
         if member.cold_from + self.rules.warm_within <= self.now:
             return True
         share = COLD_SHARE * self.rules.overload_factor * self.warmth(member)
-        if request.cls.freshness not in (Freshness.WRITE, Freshness.FRESH):
+        if not request.bound:
             share /= sum(m.state is State.UP for m in request.group.order)
         return (request.luck + member.id * GOLDEN) % 1.0 < share
 
     def zone_open(self, member: Member, request: Request) -> bool:
         """A zone that is left, or come back to, bears its share of reads; the primary does what it must."""
-        kind, main = request.cls.freshness, member is request.group.primary
-        bound = kind in (Freshness.WRITE, Freshness.FRESH) or (main and kind is Freshness.SESSION)
-        return bound or request.luck < self.zone_shares.get(member.zone, 1.0)
+        main = member is request.group.primary and request.cls.freshness is Freshness.SESSION
+        return request.bound or main or request.luck < self.zone_shares.get(member.zone, 1.0)
 
     def fresh_enough(self, member: Member, request: Request) -> bool:
         """By its last known position, at this moment, the member holds all that the read must see."""
@@ -523,7 +535,7 @@
         group, cls, primary = request.group, request.cls, request.group.primary
         if cls.freshness is Freshness.WRITE and primary is None:
             return self.scout(group, request)
-        if cls.freshness in (Freshness.WRITE, Freshness.FRESH):
+        if request.bound:
             doubtful = cls.freshness is Freshness.FRESH and primary is not None and primary.hearsay
             if primary is None or (not doubtful and self.may_send(primary, request)):
                 return primary
@@ -532,7 +544,8 @@
         on_replicas = group.side_replicas != (self.random.random() < EXPLORE)
         on_replicas = on_replicas or cls.freshness is Freshness.SESSION
         main = None if primary is None or primary in request.attempts or primary.hearsay else primary
-        main = main if main is not None and self.strain(main) <= SPARE else None
+        if main is not None and (main.limit < 1.0 or request.luck > main.spare or self.strain(main) > SPARE):
+            main = None
         if not on_replicas and main is not None and self.may_send(main, request, LEAST_WORTHY):
             return main
         if (member := self.pick(request)) is not None:
@@ -605,13 +618,17 @@
         return member.load * self.load_cost[0] / self.load_cost[1] if recent else 0.0
 
     def scout(self, group: Group, request: Request) -> Member | None:
-        """With no primary known one write at a time tries the members in id order, then pauses."""
+        """With no primary known one write at a time tries the members in id order, then pauses.
+
+        The next one goes on where it stopped: a group may have more members than a request has attempts.
+        """
         taken = group.scout != request.id and group.scout in self.requests
-        if taken or self.now < group.scout_at or len(request.attempts) >= self.settings.most_attempts - 2:
+        spent = len(request.attempts) >= max(1, self.settings.most_attempts - 2)
+        if taken or spent or self.now < group.scout_at:
             return None
-        for member in sorted(group.order, key=lambda m: m.id):
+        for member in sorted(group.order, key=lambda m: (m.id <= group.scouted, m.id)):
             if member not in request.attempts and self.may_send(member, request):
-                group.scout = request.id
+                group.scout, group.scouted = request.id, member.id
                 return member
         group.scout, group.scout_at = None, self.now + REST[0]
         return None
@@ -795,7 +812,7 @@
         cls, member = request.cls, None
         if request.done or request.hedged or self.budget < 1.0:
             return
-        if cls.effect is Effect.SAFE and cls.freshness is not Freshness.FRESH:
+        if cls.effect is Effect.SAFE and not request.bound:
             member = self.pick(request, HEDGE_ROOM)
         if member is None and lost_at and self.may_send(lost_at, request, HEDGE_ROOM):
             serves = lost_at is request.group.primary or self.fresh_enough(lost_at, request)
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -7,7 +7,7 @@
 import pytest
 
 from sedgepitch import interface as api
-from sedgepitch.interface import Result, State
+from sedgepitch.interface import Checks, Effect, Result, State
 from sedgepitch.policy import Router
 from tests.helpers import SETTINGS, Rig, finals, listing, placed, sends
 
@@ -407,6 +407,97 @@
     assert sends(rig.ask("write")[1]) == [1]
 
 
+def primary_alone(rig: Rig, limit: float) -> object:
+    """Only the primary may be used, with that limit."""
+    drained = (listing(2, state=State.DRAINING), listing(3, state=State.DRAINING))
+    rig.feed(api.Members(drained, complete=False))
+    rig.router.members[1].limit = limit
+    return rig.router.members[1]
+
+
+@pytest.mark.parametrize("name", ["write", "fresh"])
+def test_reads_that_may_go_elsewhere_hold_up_no_write(name):
+    held = []
+    for seed in range(40):
+        rig = Rig(seed=seed)
+        primary_alone(rig, 2.0)
+        while len(rig.router.members[1].out) < 2 and rig.ids < 30:
+            placed(rig, "any", ttl=0.9)
+        held.append(len(rig.router.members[1].out))
+        assert sends(rig.ask(name)[1]) == [1], seed
+    assert max(held) == 2
+
+
+def test_a_primary_whose_limit_is_below_one_bears_no_reads():
+    rig = Rig()
+    primary_alone(rig, 0.9)
+    for _ in range(20):
+        assert placed(rig, "any")[1] == []
+
+
+@pytest.mark.parametrize(("drivers", "first"), [(20, 1.0), (40, 0.6), (200, 0.12), (4000, 0.1)])
+def test_reads_come_to_a_primary_by_a_chance_that_its_answers_raise(drivers, first):
+    """Else the reads of a whole fleet that has just started fill a primary before anybody hears of it."""
+
+    def share(before: int, took: float) -> float:
+        used = 0
+        for seed in range(300):
+            rig = Rig(replace(SETTINGS, drivers=drivers), seed=seed)
+            primary = primary_alone(rig, 8.0)
+            for _ in range(before):
+                primary.limit = 1.5
+                request, _ = rig.ask("write")
+                rig.run(took)
+                rig.feed(api.Finished(request, 0, 1, Result.OK, took, True, primary=True))
+            primary.limit, primary.strain = 8.0, 0.0
+            rig.router.zone_strain.clear()
+            used += len(placed(rig, "any")[1])
+        return used / 300
+
+    assert share(0, 0.0) == pytest.approx(first, abs=0.06)
+    assert share(30, 0.01) == 1.0
+    assert share(8, 0.19) == pytest.approx(1.0 if first == 1.0 else 0.1, abs=0.06), "late ones lower it"
+
+
+def test_a_limit_below_one_is_a_share_of_the_time_for_what_only_the_primary_serves():
+    """A driver with few writes: a chance by its luck alone would hold one until its time is up."""
+    for seed in range(40):
+        rig = Rig(seed=seed)
+        primary = primary_alone(rig, 0.3)
+        request, _ = rig.ask("write", ttl=1.9)
+        rig.run(rig.router.typical / 0.3 + 0.06)
+        assert sends(rig.log, request) == [1], "it had not been used for long"
+        later, actions = rig.ask("write", ttl=1.9)
+        assert sends(actions, later) == [], "one is under way already"
+        assert primary.limit == 0.3
+
+
+def test_a_write_that_is_safe_is_not_copied_to_a_replica():
+    """A replica that turns away what it does not hold would get the copy."""
+    safe = tuple(replace(c, effect=Effect.SAFE) if c.name == "write" else c for c in SETTINGS.classes)
+    rig = Rig(replace(SETTINGS, classes=safe, checks=Checks.BOUNCE))
+    request, _ = rig.ask("write", ttl=1.9)
+    rig.run(1.8)
+    assert set(sends(rig.log, request)) == {1}
+
+
+@pytest.mark.parametrize("most", [1, 2, 4, 6])
+def test_a_primary_is_found_in_a_group_of_more_members_than_a_request_has_attempts(most):
+    """Neither the list nor probes tell roles."""
+    settings = replace(SETTINGS, probes=False, list_names_primary=False, most_attempts=most)
+    rig = Rig(settings, members=[listing(m) for m in range(1, 13)])
+    for _ in range(20):
+        request, actions = rig.ask("write", ttl=0.9)
+        for attempt in range(most):
+            tried = sends(actions, request)
+            if not tried or finals(actions, request):
+                break
+            found = tried[-1] == 12
+            actions = rig.end(request, attempt, tried[-1], Result.OK if found else Result.MISS, primary=found)
+        rig.run(1.0)
+    assert rig.router.groups[1].primary is rig.router.members[12]
+
+
 def test_a_grown_fleet_without_a_warm_member_is_used():
     rig = Rig(members=(listing(1, primary=True),))
     rig.feed(api.Members(tuple(listing(m, started=rig.now) for m in (2, 3, 4)), complete=False))
