--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -544,8 +544,10 @@
         on_replicas = group.side_replicas != (self.random.random() < EXPLORE)
         on_replicas = on_replicas or cls.freshness is Freshness.SESSION
         main = None if primary is None or primary in request.attempts or primary.hearsay else primary
-        if main is not None and (main.limit < 1.0 or request.luck > main.spare or self.strain(main) > SPARE):
+        if main is not None and (main.limit < 1.0 or self.strain(main) > SPARE):
             main = None
+        elif main is not None and request.luck > main.spare:  # where reads may go elsewhere at all
+            main = None if any(m is not main and m.state is State.UP for m in group.order) else main
         if not on_replicas and main is not None and self.may_send(main, request, LEAST_WORTHY):
             return main
         if (member := self.pick(request)) is not None:
