--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -165,18 +165,18 @@
                 self._settle(account, Answer(Verdict.REFUSED, come_back=told, why=why, promised=told > 0))
 
     def _tick(self) -> None:
-        """Measure how late this look comes, and look behind what the sockets bring."""
-        now = self.clock.now()
-        self.waited(now - self.tick_due, now)
-        self.tick_due = NEVER
-        self.clock.after_reading(self._look, now)
+        """Look behind what the sockets bring."""
+        due, self.tick_due = self.tick_due, NEVER
+        self.clock.after_reading(self._look, self.clock.now(), due)
 
-    def _look(self, at: float) -> None:
+    def _look(self, at: float, due: float) -> None:
         """End what had come due at `at`, as early as the driver's delay asks; come again if anything is owed.
 
         What had come by then has been read; a turn that was long since then may have left newer bytes unread.
+        How late this comes after it was due is this driver's own delay.
         """
         now = self.clock.now()
+        self.waited(now - due, now)
         if self.door is not None:
             self._decided(self.door.tick(now))
         self._end_due(at + self.pace.reserve(now))
--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -446,7 +446,7 @@
         share, under_way = member.limit * request.worthy * room * ease, len(member.out)
         if request.bound:  # reads that may go elsewhere take no room from what may not
             under_way = sum(other.bound for _, other, _ in member.out.values())
-            if not under_way and share < 1.0 and self.now - member.used_at > self.typical / share:
+            if not under_way and share < 1.0 and (self.now - member.used_at) * share > self.typical:
                 return True  # less than that share of the time
         return under_way + request.luck < share
 
