A session's read sees what its session wrote before each send, not only before its coming

Cause: policy.py `on_arrived` fixed `need` when the read came; tried again, waiting, copied or waiting for a connection it kept that. `on_finished` noted the commit only after `learn`, which may place what waits. Change: `need` is asked at each send; the commit is noted first; such a read that cannot leave at once is decided anew (core/engine.py `_ages`).

--- a/sedgepitch/core/engine.py
+++ b/sedgepitch/core/engine.py
@@ -36,7 +36,7 @@
 from sedgepitch.decide.entry import Admit, Arrival, Decision
 from sedgepitch.decide.ownload import OwnLimit
 from sedgepitch.decide.pace import COME_BACK, Pace
-from sedgepitch.interface import Effect, Freshness, Result
+from sedgepitch.interface import Effect, Freshness, Marks, Result
 from sedgepitch.policy import Router
 
 if TYPE_CHECKING:
@@ -434,12 +434,16 @@
             self.clock.call_later(action.timeout, self._expire, account, attempt, "time-out of the attempt")
 
     def _ages(self, account: Account, attempt: int) -> bool:
-        """Whether the decision to send this rests on a time that passes: a bound on age, a role, a window."""
+        """Whether the decision to send this rests on what passes: a bound on age, a role, a window.
+
+        So does one that rests on what is remembered of a session, to which an answer may add meanwhile.
+        """
         cls = self.classes.get(account.command.class_name)
         if cls is None:
             return False
         again = attempt > 0 and cls.effect is Effect.KEYED
-        return again or cls.freshness in (Freshness.BOUNDED, Freshness.FRESH)
+        remembered = self.router.settings.marks is Marks.REMEMBERED and cls.freshness is Freshness.SESSION
+        return again or remembered or cls.freshness in (Freshness.BOUNDED, Freshness.FRESH)
 
     def _attempt_ended(self, account: Account, attempt: int, end: AttemptEnd) -> None:
         member, sent, _ = account.out[attempt]
--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -276,11 +276,11 @@
         if not member.out:
             self.busy.pop(member.id, None)
         group = self.groups[member.group]
-        self.learn(member, group, event, request, lost_from)
-        request.out.pop(event.attempt)
         remembered = self.settings.marks is Marks.REMEMBERED and event.result is Result.OK
         if remembered and request.cls.freshness is Freshness.WRITE and event.position:
             group.sessions[request.session] = max(group.sessions.get(request.session, 0.0), event.position)
+        self.learn(member, group, event, request, lost_from)
+        request.out.pop(event.attempt)
         if group.waiting:
             self.place_waiting(group)
         if request.done or event.final:
@@ -484,7 +484,14 @@
             return True
         if kind is Freshness.BOUNDED:
             return member.position >= self.now - request.cls.max_age + POSITION_SLACK
-        return kind is Freshness.SESSION and member.position >= request.need + POSITION_SLACK
+        return kind is Freshness.SESSION and member.position >= self.need(request) + POSITION_SLACK
+
+    def need(self, request: Request) -> float:
+        """The position a session's read must see: remembered ones grow while it waits or is tried again."""
+        if self.settings.marks is not Marks.CARRIED:
+            held = request.group.sessions.get(request.session, request.group.session_floor)
+            request.need = max(request.need, held)
+        return request.need
 
     # Requests
 
@@ -498,9 +505,7 @@
             return
         request = self.requests[event.request] = Request(event, cls, group, self.now, self.random.random())
         self.budget = min(BUDGET[1], self.budget + BUDGET[0])
-        if self.settings.marks is not Marks.CARRIED:
-            request.need = group.sessions.get(event.session, group.session_floor)
-        elif event.session_age > 0:
+        if self.settings.marks is Marks.CARRIED and event.session_age > 0:
             request.need = self.now - event.session_age
         group.gap += 0.1 * (min(PERIOD, self.now - group.asked_at) - group.gap)
         group.asked_at, group.last = self.now, request
@@ -562,7 +567,11 @@
             return False
         if self.now + 2.0 * self.margin >= request.give_up:
             return False
-        bound = request.cls.max_age if request.cls.freshness is Freshness.BOUNDED else self.now - request.need
+        bound = (
+            request.cls.max_age
+            if request.cls.freshness is Freshness.BOUNDED
+            else self.now - self.need(request)
+        )
         passed = [request.group.primary, *request.attempts]
         others = (m for m in request.group.order if m not in passed and self.may_send(m, request))
         likely = list(islice((m for m in others if m.lag < bound or self.may_ask(m)), 2))
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from sedgepitch import interface as api
 from sedgepitch.core.types import Command, Verdict
 from sedgepitch.interface import Result
@@ -128,3 +130,16 @@
     front.turn()
     assert seen[0] == ["Timer", "Finished"]
     assert got[0].verdict is Verdict.SERVED
+
+
+def test_a_session_read_whose_session_is_remembered_leaves_at_once_or_is_decided_anew():
+    for marks, bound in ((api.Marks.REMEMBERED, True), (api.Marks.CARRIED, False)):
+        front = Front()
+        front.engine.router.settings = replace(front.engine.router.settings, marks=marks)
+        left_by = []
+        send = front.members.send
+        front.members.send = lambda m, p, e, by, send=send, kept=left_by: kept.append(by) or send(m, p, e, by)
+        ask(
+            front, next(c.name for c in front.engine.classes.values() if c.freshness is api.Freshness.SESSION)
+        )
+        assert [by < float("inf") for by in left_by] == [bound]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -288,3 +288,28 @@
     rig.end(write, 0, 2, Result.OK, primary=True)
     request, actions = rig.ask("fresh")
     assert sends(actions, request) == [2]
+
+
+@pytest.mark.parametrize("how", ["tried again", "waiting", "copied"])
+def test_a_session_read_sees_what_its_session_wrote_before_each_send(how):
+    """Marks are remembered here: a write of the session is answered before the read is sent."""
+    rig = Rig(replace(SETTINGS, marks=Marks.REMEMBERED, probes=False, second_copies=True))
+    for member in (2, 3):
+        rig.heard(member, 0.0)
+    write, _ = rig.ask("write", session="s", ttl=1.9)
+    if how == "waiting":
+        for member in rig.router.members.values():
+            member.limit = 0.0
+    read, actions = rig.ask("session", session="s")
+    assert bool(sends(actions, read)) is (how != "waiting")
+    rig.now += 0.01
+    for member in (2, 3):
+        rig.router.members[member].limit = 4.0
+    rig.end(write, 0, 1, Result.OK, primary=True, position=rig.now)
+    if how == "tried again":
+        rig.end(read, 0, sends(actions, read)[0], Result.CONNECT_FAILED)
+    elif how == "copied":
+        rig.router.hedge(rig.router.requests[read])
+    rig.run(0.02)
+    later = sends(rig.log, read)[len(sends(actions, read)) :]
+    assert not set(later) & {2, 3}, "their position is older than the write"
