A write that is out, or whose answer was lost, binds its session's reads

Ruled out: positions in answers that broke off (194 connections ended under a request, none had told one), writes answered here with a higher commit (none), other drivers' writes. Cause: policy.py on_finished noted only commits of answers that came whole; what was out, or ended with a reset, a time-out or an error, bound nothing, though it may have been committed. Change: a session's write that is out asks for the present of its session's reads; one that may have run for all until its end. Where it surely never ran, nothing. Tests: tests/test_rules.py, seven results, all fail before.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -107,6 +107,7 @@
         self.gap = 1.0  # s between this driver's requests for the group
         self.last: Request | None = None
         self.sessions: dict[str, float] = {}  # the last commit of each, as far as seen here
+        self.writing: dict[str, int] = {}  # a session's write attempts that are out
         self.session_floor = -NEVER
 
     def compare(self) -> None:
@@ -276,9 +277,8 @@
         if not member.out:
             self.busy.pop(member.id, None)
         group = self.groups[member.group]
-        remembered = self.settings.marks is Marks.REMEMBERED and event.result is Result.OK
-        if remembered and request.cls.freshness is Freshness.WRITE and event.position:
-            group.sessions[request.session] = max(group.sessions.get(request.session, 0.0), event.position)
+        if self.marks(request):
+            self.wrote(group, request.session, event)
         self.learn(member, group, event, request, lost_from)
         request.out.pop(event.attempt)
         if group.waiting:
@@ -294,6 +294,23 @@
         if not request.out:
             self.next_step(request)
 
+    def marks(self, request: Request) -> bool:
+        """Whether what it writes is remembered here for its session's reads."""
+        own = request.session and request.cls.freshness is Freshness.WRITE
+        return bool(own) and self.settings.marks is not Marks.CARRIED
+
+    def wrote(self, group: Group, session: str, event: api.Finished) -> None:
+        """What the session's reads must see from now on: the commit, or all until now where it is not told.
+
+        An attempt that may have run, though its answer was lost, may have committed until its end.
+        """
+        group.writing[session] -= 1
+        if not group.writing[session]:
+            del group.writing[session]
+        if event.result not in NEVER_RAN:
+            told = event.position if event.result is Result.OK else None
+            group.sessions[session] = max(group.sessions.get(session, 0.0), told or self.now)
+
     def learn(
         self, member: Member, group: Group, event: api.Finished, request: Request, lost_from: int
     ) -> None:
@@ -487,10 +504,15 @@
         return kind is Freshness.SESSION and member.position >= self.need(request) + POSITION_SLACK
 
     def need(self, request: Request) -> float:
-        """The position a session's read must see: remembered ones grow while it waits or is tried again."""
+        """The position a session's read must see: remembered ones grow while it waits or is tried again.
+
+        A write that is out may have been committed until now: whether its answer is lost shows only later.
+        """
         if self.settings.marks is not Marks.CARRIED:
             held = request.group.sessions.get(request.session, request.group.session_floor)
             request.need = max(request.need, held)
+            if request.session in request.group.writing:
+                return self.now
         return request.need
 
     # Requests
@@ -572,6 +594,8 @@
             if request.cls.freshness is Freshness.BOUNDED
             else self.now - self.need(request)
         )
+        if bound <= 0.0:  # no replica is at the present
+            return False
         passed = [request.group.primary, *request.attempts]
         others = (m for m in request.group.order if m not in passed and self.may_send(m, request))
         likely = list(islice((m for m in others if m.lag < bound or self.may_ask(m)), 2))
@@ -652,6 +676,8 @@
         key = (request.id, len(request.attempts))
         request.attempts.append(member)
         request.out[key[1]] = self.now
+        if self.marks(request):
+            request.group.writing[request.session] = request.group.writing.get(request.session, 0) + 1
         member.out[key] = (self.now, request, member.answers + len(member.out) + OVERTAKEN)
         member.idle, member.used_at = self.now - member.used_at, self.now
         self.busy[member.id] = member
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -290,6 +290,40 @@
     assert sends(actions, request) == [2]
 
 
+LOST = [Result.RESET, Result.TIMEOUT, Result.ERROR]
+NEVER = [Result.FULL, Result.MISS, Result.NOT_SENT, Result.CONNECT_FAILED]
+
+
+@pytest.mark.parametrize("result", [*LOST, *NEVER])
+def test_what_a_session_wrote_binds_its_reads_though_the_answer_was_lost(result):
+    """Marks are remembered here: until now while it is out, until its end where it may have run, else not."""
+    rig = Rig(replace(SETTINGS, marks=Marks.REMEMBERED, probes=False, most_attempts=1))
+    for member in (2, 3):
+        rig.heard(member, 0.0)
+    write, actions = rig.ask("write", session="s")
+    assert sends(actions, write) == [1]
+    rig.router.members[1].limit = 0.5  # room for what it alone serves: what no replica may serve waits
+    rig.run(0.05)
+    early, actions = rig.ask("session", session="s")
+    assert sends(actions, early) == []
+    other, actions = rig.ask("session", session="another")
+    assert set(sends(actions, other)) < {2, 3}
+    actions = rig.end(write, 0, 1, result, primary=True, final=False)
+    assert bool(sends(actions, early)) is (result in NEVER)
+    late, actions = rig.ask("session", session="s")
+    assert bool(sends(actions, late)) is (result in NEVER)
+    if result in LOST:
+        ended = rig.now
+        rig.now += 0.01
+        assert sends(rig.feed(report_of(2, ended)), late) == []
+        assert sends(rig.feed(report_of(2, rig.now)), late) == [2]
+
+
+def report_of(member: int, position: float) -> api.Probed:
+    """A probe's answer that tells how far a replica is."""
+    return api.Probed(member, Result.OK, 0.001, api.Report(position, False))
+
+
 @pytest.mark.parametrize("how", ["tried again", "waiting", "copied"])
 def test_a_session_read_sees_what_its_session_wrote_before_each_send(how):
     """Marks are remembered here: a write of the session is answered before the read is sent."""
