The end of a driver walked through all orders of its clients', members' and list's events

Driver.stop itself runs on a fake clock with a played port; judged: one answer for each statement that came whole while its client held on, nothing sent after the end, nothing owed, every client that waited to be accepted accepted, over in time. No fault found.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,6 +24,7 @@
 from sedgepitch.decide.visitors import TALK_WITHIN
 from sedgepitch.fronts.postgres import client, codec
 from sedgepitch.interface import Result
+from sedgepitch.node.driver import Driver
 from sedgepitch.policy import Router
 from tests.front import PlayedMembers
 from tests.helpers import SETTINGS, listing
@@ -575,3 +576,134 @@
         stage.answer()
         assert wire.value() == ROW + codec.READY
         assert stage.descriptors.clients == 1 and stage.engine.ledger.owed == 0
+
+
+# The end of a driver
+
+
+class Door:
+    """The driver's port, played: who waits to be accepted comes in when it is closed in order."""
+
+    def __init__(self, accept) -> None:
+        self.accept, self.queue, self.closed = accept, 0, False
+
+    def accept_all(self) -> None:
+        while self.queue:
+            self.queue -= 1
+            self.accept()
+
+    def stopListening(self) -> None:
+        self.closed = True
+
+
+class Caller:
+    """A client that follows the protocol: one statement, or several ahead; what it may expect is counted."""
+
+    def __init__(self, stage: Stage) -> None:
+        self.connection, self.wire = stage.client()
+        self.rest, self.whole, self.left = b"", 0, False
+
+    def open(self) -> bool:
+        """Whether what it sends now arrives."""
+        return not (self.left or self.wire.half_closed or self.wire.aborted)
+
+    def say(self) -> None:
+        """Send the rest of what was begun."""
+        data, self.rest = self.rest, b""
+        if data and self.open():
+            self.whole += 1
+            self.connection.dataReceived(data)
+
+    def ask(self, statement: bytes, begin: int = 0) -> None:
+        """One more statement, its beginning or all of it; what is half sent goes before."""
+        self.say()
+        self.rest = statement[begin:]
+        if begin and self.open():
+            self.connection.dataReceived(statement[:begin])
+        elif not begin:
+            self.say()
+
+    def leave(self) -> None:
+        if not self.left:
+            self.left = True
+            self.connection.connectionLost()
+
+    def answers(self) -> int:
+        return [kind for kind, _ in messages(self.wire.value())].count(b"Z")
+
+
+STOP_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(
+            ["comes", "waits", "read", "write", "part", "rest", "leaves", "answer", "reset", "list", "pass", "stop"]
+        ),
+        st.integers(0, 5),
+    ),
+    max_size=40,
+)
+
+
+@given(STOP_STEPS)
+def test_in_every_order_a_driver_that_ends_answers_all_it_has_read_and_then_is_over(steps):
+    stage, callers, done = Stage(), [], []
+    door = Door(lambda: callers.append(Caller(stage)))
+    driver = SimpleNamespace(
+        clock=stage.clock,
+        config=SimpleNamespace(settings=SETTINGS),
+        front=stage.front,
+        engine=stage.engine,
+        lines=SimpleNamespace(say=lambda *_, **__: None),
+        port=door,
+        catalog=SimpleNamespace(stop=lambda: None),
+        members=SimpleNamespace(close=lambda: None),
+        figures=dict,
+    )
+    numbers, told, stopped = itertools.count(1), [], []
+    for what, which in [*steps, ("stop", 0)]:
+        caller = callers[which % len(callers)] if callers else None
+        live = [s for s in stage.members.sent if not s.abandoned and s not in told]
+        if what in ("comes", "waits"):
+            if not door.closed and what == "comes":
+                door.accept()
+            elif not door.closed:
+                door.queue += 1
+        elif what == "pass":
+            stage.pass_by(0.3 * which)
+        elif what == "stop":
+            if not stopped:
+                stopped.append(True)
+                Driver.stop(driver, lambda: done.append(stage.clock.now()))
+        elif what == "list":
+            drains = (listing(1 + which % 3, state=api.State.DRAINING),)
+            stage.engine.list_changed(api.Members(drains, complete=False))
+        elif what in ("answer", "reset") and live:
+            told.append(live[which % len(live)])
+            ok = what == "answer"
+            told[-1].on_end(AttemptEnd(Result.OK, ROW) if ok else AttemptEnd(Result.RESET))
+        elif caller is None or done:
+            continue
+        elif what in ("read", "write"):
+            caller.ask((read if what == "read" else write)(next(numbers), d="9000" if which < 4 else "900"))
+        elif what == "part":
+            caller.ask(read(next(numbers), d="9000"), begin=20)
+        elif what == "rest":
+            caller.say()
+        elif what == "leaves":
+            caller.leave()
+        if which % 2:
+            stage.turn()
+    went = [caller.left for caller in callers]
+    for _ in range(200):  # clients that are closed go, as they do
+        stage.turn(0.02)
+        for caller in callers:
+            if caller.wire.half_closed or caller.wire.aborted:
+                caller.leave()
+    sent = [s.payload.id for s in stage.members.sent]
+    assert len(done) == 1 and door.closed and not door.queue
+    ledger = stage.engine.ledger
+    assert ledger.owed == 0 and ledger.twice == 0 and not stage.engine.overdue
+    for caller, early in zip(callers, went + [False] * len(callers), strict=False):
+        assert caller.answers() <= caller.whole if early else caller.answers() == caller.whole
+    stage.pass_by(2.0)
+    assert [s.payload.id for s in stage.members.sent] == sent, "sent after the end"
+    assert stage.descriptors.clients == sum(not c.left for c in callers)
