--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -592,7 +592,7 @@
             self.queue -= 1
             self.accept()
 
-    def stopListening(self) -> None:
+    def stopListening(self) -> None:  # noqa: N802 (the port's name)
         self.closed = True
 
 
@@ -635,7 +635,8 @@
 STOP_STEPS = st.lists(
     st.tuples(
         st.sampled_from(
-            ["comes", "waits", "read", "write", "part", "rest", "leaves", "answer", "reset", "list", "pass", "stop"]
+            ["comes", "waits", "read", "write", "part", "rest"]
+            + ["leaves", "answer", "reset", "list", "pass", "stop"]
         ),
         st.integers(0, 5),
     ),
