--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 
 from sedgepitch.load.processes import stage
+from tests.platform import Platform
 
 # The same examples each time: a verdict must not depend on the day. New seeds are tried by hand, with
 # `--hypothesis-profile default --hypothesis-seed N`; what they find becomes a test of its own.
@@ -42,3 +43,14 @@
     """A fleet of this test's own, to be treated badly."""
     with stage(example(), tmp_path) as held:
         yield held
+
+
+@pytest.fixture
+def platform(tmp_path):
+    """One driver on a played platform, its list known."""
+    held = Platform(tmp_path)
+    held.configure()
+    held.start()
+    held.wait_for("list revision=1 complete=True remembered=False")
+    yield held
+    held.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -13,17 +13,7 @@
 import pytest
 
 from sedgepitch.fronts.postgres import codec
-from tests.platform import ROOT, WITHIN, Agent, Client, Platform, change, look, value_of
-
-
-@pytest.fixture
-def platform(tmp_path):
-    held = Platform(tmp_path)
-    held.configure()
-    held.start()
-    held.wait_for("list revision=1 complete=True remembered=False")
-    yield held
-    held.close()
+from tests.platform import ROOT, WITHIN, Agent, Client, change, look, value_of
 
 
 def test_reads_and_writes_go_through_and_statements_arrive_unchanged_but_for_d(platform):
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -28,16 +28,6 @@
     raise AssertionError("it never came about")
 
 
-@pytest.fixture
-def platform(tmp_path):
-    held = Platform(tmp_path)
-    held.configure()
-    held.start()
-    held.wait_for("list revision=1 complete=True remembered=False")
-    yield held
-    held.close()
-
-
 class Mute(Agent):
     """Discovery that accepts, and says nothing or only that it will."""
 
