Remembered sessions are bounded: beyond 4096 the older are held to a floor

Read, not seen: sessions were let go only once every member that is up was known beyond their commit; a member that never tells its position (cut off, no reports) kept all of them for ever, a few hundred bytes each. Change: policy.py on_period keeps the newest 4096 of a group and raises the floor, which binds all others, to the newest that was let go. Test: tests/test_lost.py, 12,288 sessions, fails before; a session let go still sees its write.

--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -20,6 +20,7 @@
 EXPLORE = 0.04  # share of open reads that try the other side; paper's Exploration Fraction is 0.10
 LEAST_SAMPLE = 5  # answers a side needs in a period to be compared; ours, one fast answer proves nothing
 # Freshness.
+SESSIONS = 4096  # of a group that are remembered one by one; where more wrote, older ones are held to a floor
 POSITION_SLACK = 0.001  # s; positions and commits are told in whole milliseconds, rounded either way
 ASK_MOST = 2  # replicas that a read may ask for their position before it is placed
 PROBE_GAP = 0.25  # least time between two probes of a member, as a share of that bound
@@ -762,6 +763,8 @@
         for group in self.groups.values():
             group.compare()
             floor = min((m.position for m in group.order if m.state is State.UP), default=-NEVER)
+            if len(group.sessions) > SESSIONS:  # a member that tells nothing keeps none of them from being needed
+                floor = max(floor, sorted(group.sessions.values())[-SESSIONS] + POSITION_SLACK)
             group.session_floor = max(group.session_floor, floor)
             group.sessions = {k: v for k, v in group.sessions.items() if v + POSITION_SLACK > floor}
         for member in list(self.members.values()):
--- a/tests/test_lost.py
+++ b/tests/test_lost.py
@@ -6,6 +6,7 @@
 
 from sedgepitch import interface as api
 from sedgepitch.interface import Result
+from sedgepitch.policy import SESSIONS
 from tests.front import Front
 from tests.helpers import SETTINGS, Rig, finals, listing, sends
 from tests.test_engine import ask
@@ -106,6 +107,23 @@
     answered_after(rig, "any", 20)
 
 
+def test_sessions_are_bounded_where_a_member_never_tells_and_those_let_go_still_see_their_writes():
+    rig = Rig(replace(SETTINGS, marks=api.Marks.REMEMBERED, probes=False))
+    begun = rig.now
+    for number in range(3 * SESSIONS):
+        rig.end(rig.ask("write", session=f"s{number}")[0], 0, 1, Result.OK, primary=True, position=rig.now)
+        rig.run(0.002)
+    rig.run(6.0)
+    group = rig.router.groups[1]
+    assert SESSIONS / 4 < len(group.sessions) <= SESSIONS and "s0" not in group.sessions
+    assert f"s{number}" in group.sessions
+    rig.router.members[1].limit = 0.5  # no room for reads
+    rig.feed(api.Probed(2, Result.OK, 0.001, api.Report(begun, False)))
+    read, actions = rig.ask("session", session="s0")
+    assert not sends(actions, read)
+    assert sends(rig.feed(api.Probed(2, Result.OK, 0.001, api.Report(rig.now - 0.1, False))), read) == [2]
+
+
 def test_one_broken_connection_asks_the_member_and_three_in_a_row_show_it_down():
     rig = Rig()
     answered_after(rig, "write", 60)
