--- a/sedgepitch/policy.py
+++ b/sedgepitch/policy.py
@@ -279,7 +279,7 @@
             self.busy.pop(member.id, None)
         group = self.groups[member.group]
         if self.marks(request):
-            self.wrote(group, request.session, event)
+            self.wrote(request.group, request.session, event)
         self.learn(member, group, event, request, lost_from)
         request.out.pop(event.attempt)
         if group.waiting:
