Zones: drivers that each use a few of a zone's members know together that it is lost

Change: a row names its members that are down, a bit each of 64; Council.together: over two thirds of the weight, enough of the zone named. A driver all of whose few are down is no witness that the zone is well. Tests: tests/test_zones.py (11, property with liars and a sick member), tests/test_fleetday.py 'few each'.

--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -356,7 +356,9 @@
         why = f"  {row['why']}" if row["why"] else ""
         click.echo(f"  {row['zone']:24} {row['state']:10} {row['share']:6.0%} for {row['for_s']:8.1f} s{why}")
     for row in state["drivers"]:
-        said = ", ".join(f"{z} {v}" for z, v in row["votes"].items()) or "nothing"
+        few = row["all_it_uses_is_down"]
+        said = ", ".join(f"{z} {'its few are down' if z in few else v}" for z, v in row["votes"].items())
+        said = said or "nothing"
         fit = "" if row["fit"] else " (does not judge now)"
         click.echo(
             f"  {row['name']:24} of '{row['zone']}', {row['demand']:.1f} requests/s,"
--- a/sedgepitch/decide/evidence.py
+++ b/sedgepitch/decide/evidence.py
@@ -13,7 +13,8 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from enum import IntEnum
-from functools import lru_cache
+from functools import lru_cache, reduce
+from operator import or_
 from statistics import median
 
 import msgspec
@@ -36,6 +37,11 @@
 WORTH_NOTICE = 0.15  # share of the aim under which slow is not worth leaving for
 
 
+def bit(member: int) -> int:
+    """A member's bit among 64, the same at all drivers. Two may share one: bits count too few, never more."""
+    return 1 << ((member * 0x9E3779B97F4A7C15 & 0xFFFFFFFFFFFFFFFF) >> 58)  # Knuth's multiplicative hash
+
+
 class Vote(IntEnum):
     """What a digest says of a zone; a higher one is worse."""
 
@@ -62,6 +68,7 @@
     quiet: int = 0  # thousandths of a second since the last answer
     unanswered: int = 0  # attempts sent since then
     there: int = 0  # members of the zone that are up, by the list
+    down: int = 0  # those silent or down, a bit each (see `bit`)
 
 
 class Stance(Struct, frozen=True, array_like=True):
@@ -110,6 +117,7 @@
     figures = [n for r in told.rows for n in r.__struct_fields__[1:] if getattr(r, n) < 0]
     figures += [n for s in told.stances for n in s.__struct_fields__[1:] if getattr(s, n) < 0]
     sane = 0.0 <= told.demand <= 1e6 and not figures  # also false for what is not a number
+    sane = sane and all(r.down.bit_count() <= r.bad for r in told.rows)
     sane = sane and all(s.share <= 1000 and s.state <= 4 for s in told.stances)
     names = [r.zone for r in told.rows]
     sane = sane and len(names) <= MOST_ZONES and len(names) == len(set(names))
@@ -126,11 +134,7 @@
     if not digest.fit:
         return {}
     seen = {row.zone: _alone(row) for row in digest.rows}
-    answering = {
-        row.zone
-        for row in digest.rows
-        if row.good > 0 and seen[row.zone] is not Vote.LOST and _failures(row) < FAILING * max(1, row.asked)
-    }
+    answering = _answering(digest)
     # A zone that still answers is bad only beside one that does well: under a load that is too much for all,
     # failures fall where chance has them.
     calm = {
@@ -155,6 +159,39 @@
     return out
 
 
+@lru_cache(maxsize=4096)
+def parts(digest: Digest) -> frozenset[str]:
+    """The zones of which all that this driver uses is down, though it uses too few members to speak for them.
+
+    Several such drivers may know together what none of them knows: `Council.together`.
+    """
+    if not digest.fit:
+        return frozenset()
+    answering = _answering(digest)
+    return frozenset(
+        row.zone
+        for row in digest.rows
+        if row.down
+        and row.bad >= LOST_MEMBERS * row.members
+        and _alone(row) is not Vote.LOST
+        and answering - {row.zone}
+    )
+
+
+def enough(there: int) -> int:
+    """How many members, silent or down, stand for a zone of so many: over half of them, or several."""
+    return min(SEVERAL, there // 2 + 1)
+
+
+def _answering(digest: Digest) -> set[str]:
+    """The zones that serve this driver."""
+    return {
+        row.zone
+        for row in digest.rows
+        if row.good > 0 and _alone(row) is not Vote.LOST and _failures(row) < FAILING * max(1, row.asked)
+    }
+
+
 def _failures(row: Row) -> int:
     return row.silent + row.refused
 
@@ -163,14 +200,14 @@
     """A row without the others beside it."""
     if row.members == 0:
         return Vote.NONE
-    # Over half of the members, or several: a driver that uses few of them must not take those for the zone.
-    enough = row.bad >= min(SEVERAL, row.there // 2 + 1)
-    if enough and row.bad >= LOST_MEMBERS * row.members:
+    # A driver that uses few of the members must not take those for the zone.
+    many = row.bad >= enough(row.there)
+    if many and row.bad >= LOST_MEMBERS * row.members:
         return Vote.LOST
     # An answer of a while ago, for the pace at which they came, says nothing of now.
     usual = 1000.0 * QUIET * 1.5 * SPAN / max(1, row.good)
     silent = row.good == 0 or row.quiet > max(LEAST_QUIET, usual)
-    if silent and enough and row.unanswered >= IN_VAIN:
+    if silent and many and row.unanswered >= IN_VAIN:
         return Vote.LOST  # nobody there answers; who else would, was not asked
     wide = row.members > 1 and row.hurt + row.bad >= SPREAD * row.members
     if row.asked >= LEAST_ASKED and wide and _failures(row) >= FAILING * row.asked:
@@ -289,6 +326,7 @@
                     min(60_000, round(1000 * (now - max((s.last for s in there.values()), default=now)))),
                     sum(n for z, n in self._unanswered.items() if z[:MOST_NAME] == zone),
                     up,
+                    reduce(or_, (bit(n) for n in there if n in bad), 0),
                 )
             )
         out.sort(key=lambda r: (-r.asked, r.zone))
--- a/sedgepitch/decide/zones.py
+++ b/sedgepitch/decide/zones.py
@@ -24,7 +24,9 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import IntEnum
+from functools import reduce
 from math import ceil, exp, sqrt
+from operator import or_
 
 from sedgepitch.decide.evidence import (
     FAILING,
@@ -34,6 +36,8 @@
     Row,
     Stance,
     Vote,
+    enough,
+    parts,
     votes,
 )
 from sedgepitch.decide.orders import Order
@@ -155,7 +159,11 @@
         self.digests = {n: d for n, (age, d) in view.heard.items() if age <= FRESH_FOR and n != name}
         self.digests[name] = view.own
         self.weights = weigh({n: d.demand for n, d in self.digests.items()})
-        self.votes = {n: votes(d) for n, d in self.digests.items()}
+        self.parts = {n: parts(d) for n, d in self.digests.items()}
+        self.votes = {
+            n: {z: Vote.NONE if v is Vote.WELL and z in self.parts[n] else v for z, v in votes(d).items()}
+            for n, d in self.digests.items()
+        }
         self.everyone = sorted(self.digests)
         self.mates = sorted(n for n, d in self.digests.items() if d.zone == self.zone)
 
@@ -172,6 +180,22 @@
                 weight += self.weights[name]
         return count, weight / total if total else 0.0
 
+    def together(self, jury: list[str], zone: str) -> bool:
+        """Whether a jury's drivers, none of which uses enough of a zone's members, know it lost together.
+
+        Over two thirds of the weight of those who say anything find all that they use there down, and what
+        they name is enough of the zone. Two thirds, since here it is one liar's word that a member is down.
+        """
+        against = [n for n in jury if zone in self.parts[n] or self.votes[n].get(zone) is Vote.LOST]
+        if len(against) < max(min(ALONE, len(jury)), ceil(len(jury) / 3)):
+            return False
+        total = sum(self.weights[n] for n in jury if n in against or self.votes[n].get(zone, Vote.NONE))
+        if sum(self.weights[n] for n in against) <= total * 2 / 3:
+            return False
+        rows = [r for n in against if (r := self.row(n, zone)) is not None]
+        there = sorted(r.there for r in rows)[len(rows) // 2]
+        return reduce(or_, (r.down for r in rows), 0).bit_count() >= enough(there)
+
     def verdict(self, zone: str) -> Vote:
         """The worst that a quorum says of a zone as seen from here; WELL where none speaks against it."""
         mates = self.mates
@@ -181,6 +205,8 @@
             count, share = self.part(mates, zone, level)
             if share > 2 / 3 and count >= max(min(ALONE, len(mates)), ceil(len(mates) / 2)):
                 return level
+            if level is Vote.LOST and self.together(mates, zone):
+                return level
             # Inside a zone that is cut off the mates see it well; the others count where none of them does.
             if well >= 0.5 or (self.zone == zone and (well > 0.0 or count == 0)):
                 continue
@@ -189,6 +215,8 @@
                 count, share = self.part(jury, zone, level)
                 if share > 0.5 and count >= max(min(ALONE, len(jury)), ceil(len(jury) / 3)):
                     return level
+                if level is Vote.LOST and self.together(jury, zone):
+                    return level
         return Vote.WELL
 
     def doubted(self, zone: str) -> float:
@@ -472,7 +500,7 @@
             self._go(zone, State.LEFT, now, share, f"relapsed: {zone.verdict.name.lower()}")
             return
         own = council.votes[self.name].get(zone.name, Vote.NONE)
-        if own >= Vote.FAILING:
+        if own >= Vote.FAILING or zone.name in council.parts[self.name]:
             zone.step_at = now  # what is seen here holds here
         _, middle = council.middle(zone.name)
         ahead = bool(council.stances(zone.name)) and zone.share > middle + 1e-3
--- a/sedgepitch/peers/zones.py
+++ b/sedgepitch/peers/zones.py
@@ -138,6 +138,7 @@
         said = (
             self.own.fit,
             evidence.votes(self.own),
+            [(r.zone, r.down) for r in self.own.rows if r.zone in evidence.parts(self.own)],
             [(s.zone, s.state, s.share) for s in self.own.stances],
         )
         changed = said != self.told_as
@@ -298,6 +299,7 @@
                     "demand": digest.demand,
                     "fit": digest.fit,
                     "votes": {zone: vote.name.lower() for zone, vote in evidence.votes(digest).items()},
+                    "all_it_uses_is_down": sorted(evidence.parts(digest)),
                     "shares": {s.zone: s.share / 1000.0 for s in digest.stances},
                 }
                 for name, (age, body) in sorted(heard.items())
--- a/tests/test_fleetday.py
+++ b/tests/test_fleetday.py
@@ -24,6 +24,12 @@
 DAYS = {
     "lost": {"length": 20, "steps": [{"at": 3, "do": "lose", "zone": "south", "for": 7}]},
     "one by one": {"length": 20, "steps": [{"at": 3, "do": "lose", "zone": "south", "for": 9, "each": 1.0}]},
+    "few each": {
+        "length": 24,
+        "members": 30,
+        "rate": 90,
+        "steps": [{"at": 4, "do": "lose", "zone": "south", "for": 14}],
+    },
     "half": {
         "length": 14,
         "members": 12,
@@ -184,6 +190,11 @@
     assert max(shares) < 0.2, "nobody is back at once"
 
 
+def test_drivers_that_each_use_a_few_of_a_zone_s_ten_members_leave_it_together(days):
+    """None of them knows enough of them alone: before members were named, nobody left (four plays)."""
+    assert len(who(days["few each"], "left")) >= 3
+
+
 def test_half_of_a_zone_is_no_zone(days):
     assert not who(days["half"], "left") and not who(days["half"], "leaving")
 
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from dataclasses import replace
 
 import msgspec
@@ -10,7 +11,7 @@
 from hypothesis import strategies as st
 
 from sedgepitch.decide import evidence, orders
-from sedgepitch.decide.evidence import Digest, Evidence, Row, Stance, Vote, votes
+from sedgepitch.decide.evidence import Digest, Evidence, Row, Stance, Vote, bit, votes
 from sedgepitch.decide.orders import Order, Orders
 from sedgepitch.decide.zones import Council, State, View, Zones, ZoneSettings, weigh
 
@@ -396,6 +397,7 @@
     counts,
     counts,
     counts,
+    st.integers(0, 2**64 - 1),
 )
 digests = st.builds(
     Digest,
@@ -517,6 +519,73 @@
     assert votes(Digest("a", 1.0, True, (many, row("a"))))["c"] is Vote.LOST
 
 
+def few(member: int, there: int = 12, how: str = "lost") -> Row:
+    """What a driver counts that uses one member of a zone alone."""
+    if how == "well":
+        return Row("c", 3, 3, 0, 0, 50, 1, there=there)
+    return Row("c", 2, 0, 2, 0, 0, 1, 1, quiet=3000, unanswered=2, there=there, down=bit(member))
+
+
+def fleet_of_few(members: dict[str, Row]) -> Council:
+    """Drivers of one zone, of like demand, each with its row of the zone in question."""
+    told = {n: Digest("a", 2.0, True, (row("a"), row("b"), r)) for n, r in members.items()}
+    heard = {n: (0.2, d) for n, d in told.items() if n != "d0"}
+    return Council("d0", View(50.0, told["d0"], heard, dict.fromkeys(ZONES, 12.0), living=len(told)))
+
+
+@pytest.mark.parametrize(
+    ("named", "there", "lost"),
+    [
+        (range(9), 12, True),  # a member each
+        ([1, 2, 3, 4, 4, 4, 4, 4, 4], 12, True),  # four are several
+        ([1, 2, 3, 3, 3, 3, 3, 3, 3], 12, False),
+        ([1] * 9, 12, False),  # one member of it is sick, and it is all that they use
+        ([1, 2, 1, 2, 1, 2, 1, 2, 1], 3, True),  # over half
+        ([1, 2, 1, 2, 1, 2, 1, 2, 1], 4, False),
+    ],
+)
+def test_drivers_that_use_other_members_of_a_zone_know_together_that_it_is_lost(named, there, lost):
+    rows = {f"d{n}": few(member, there) for n, member in enumerate(named)}
+    council = fleet_of_few(rows)
+    assert all(v.get("c") is Vote.NONE for v in council.votes.values()), "none of them knows it alone"
+    assert council.verdict("c") is (Vote.LOST if lost else Vote.WELL)
+    rows |= {f"d{n}": few(n, there, "well") for n in range(3)}  # a third of them is served there
+    assert fleet_of_few(rows).verdict("c") is Vote.WELL
+
+
+@given(st.integers(4, 24), st.data())
+def test_fewer_than_a_third_with_one_sick_member_do_not_make_a_zone_lost(count, data):
+    """All that liars can add is names: over two thirds must find all that they use down."""
+    liars = data.draw(st.integers(0, (count - 1) // 3))
+    sick = data.draw(st.integers(0, (count - liars) // 6))
+    rows = {}
+    for n in range(count):
+        if n >= count - liars:
+            named = data.draw(st.sampled_from([0x1FF, 0x15]))
+            rows[f"d{n}"] = Row("c", 9, 0, 9, 0, 0, 9, 9, there=99, down=named)
+        else:
+            rows[f"d{n}"] = few(1) if n >= count - liars - sick else few(n, how="well")
+    told = {
+        n: Digest("a", 1e6 if r.bad == 9 else 2.0, True, (row("a"), row("b"), r)) for n, r in rows.items()
+    }
+    heard = {n: (0.2, d) for n, d in told.items() if n != "d0"}
+    view = View(50.0, told["d0"], heard, dict.fromkeys(ZONES, 12.0), living=count)
+    assert Council("d0", view).verdict("c") is Vote.WELL
+
+
+def test_members_have_bits_that_seldom_meet_and_a_digest_names_no_more_than_it_counts():
+    assert len({bit(n) for n in range(1, 13)}) == 12
+    assert len({bit(zlib.crc32(b"member-%d" % n)) for n in range(40)}) >= 25
+    lying = Digest("a", 1.0, True, (Row("c", 2, 0, 2, 0, 0, 1, 1, down=3),))
+    assert evidence.decode(evidence.encode(lying)) is None
+    seen, now = Evidence(), 10.0
+    for member in (1, 2, 3):
+        seen.silent(now, member, "c")
+        seen.good(now, member + 10, "a", 0.1)
+    told = {r.zone: r for r in seen.rows(now, {1: "c", 3: "c"}, {"a": 3, "c": 9})}
+    assert told["c"].down == bit(1) | bit(3) and told["a"].down == 0
+
+
 def test_who_has_not_left_yet_is_not_back():
     """One that left sooner than its mates does not take them for returned."""
     rows = (row("a"), row("b"))
