--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -5,6 +5,8 @@
 from dataclasses import replace
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from sedgepitch import interface as api
 from sedgepitch.interface import Checks, Marks, Result, State
@@ -324,6 +326,59 @@
     return api.Probed(member, Result.OK, 0.001, api.Report(position, False))
 
 
+SESSION_EVENTS = "write read commits ends lost never report pass list".split()
+SESSION_STEPS = st.lists(st.tuples(st.sampled_from(SESSION_EVENTS), st.integers(0, 7)), max_size=60)
+
+
+@given(SESSION_STEPS, st.integers(0, 2**16))
+def test_in_every_order_a_replica_that_a_session_s_read_is_sent_to_holds_all_that_it_wrote(steps, seed):
+    """Commits fall anywhere between a write's send and its end, told or lost; positions only from reports."""
+    rig = Rig(replace(SETTINGS, marks=Marks.REMEMBERED, second_copies=bool(seed % 2)), seed=seed)
+    names, attempts, out, committed = {}, {}, [], {"s": -1.0, "t": -1.0}
+    held = {member: rig.now for member in (1, 2, 3)}  # where each is in truth; the primary at the present
+
+    def take(actions) -> None:
+        for action in actions:
+            if isinstance(action, api.Send):
+                number = attempts[action.request] = attempts.get(action.request, -1) + 1
+                kind, session = names[action.request]
+                out.append([action.request, number, action.member, 0.0])
+                if kind == "session" and action.member != 1:
+                    assert held[action.member] > committed[session]
+
+    for what, which in steps:
+        rig.now += 0.001
+        held[1] = rig.now
+        picked = out[which % len(out)] if out else None
+        if what in ("write", "read"):
+            kind, session = "write" if what == "write" else "session", "st"[which % 2]
+            names[rig.ids + 1] = (kind, session)
+            take(rig.ask(kind, session=session)[1])
+        elif what == "commits" and picked and names[picked[0]][0] == "write" and picked[2] == 1:
+            if not picked[3]:
+                picked[3] = committed[names[picked[0]][1]] = rig.now
+        elif what in ("ends", "lost", "never") and picked:
+            ran = picked[3] > 0 or names[picked[0]][0] != "write"
+            if (what == "never" and picked[3]) or (what == "ends" and not ran):
+                continue
+            out.remove(picked)
+            lost = [Result.RESET, Result.TIMEOUT, Result.ERROR][which % 3]
+            never = [Result.NOT_SENT, Result.CONNECT_FAILED, Result.FULL][which % 3]
+            result = {"ends": Result.OK, "lost": lost, "never": never}[what]
+            fields = {"primary": picked[2] == 1} if result is Result.OK else {}
+            position = picked[3] or held[picked[2]]
+            told = {"position": position} if result is Result.OK else {}
+            take(rig.end(picked[0], picked[1], picked[2], result, **fields, **told))
+        elif what == "report":
+            member = 2 + which % 2
+            held[member] = max(held[member], rig.now - 0.02 * (which // 2))
+            take(rig.feed(report_of(member, held[member])))
+        elif what == "pass":
+            take(rig.run(0.05 * which))
+        elif what == "list":
+            take(rig.feed(api.Members((listing(2 + which % 2),), complete=False)))
+
+
 @pytest.mark.parametrize("how", ["tried again", "waiting", "copied"])
 def test_a_session_read_sees_what_its_session_wrote_before_each_send(how):
     """Marks are remembered here: a write of the session is answered before the read is sent."""
