A wall clock set ahead while bytes lie unread makes neither them nor the driver look late

Read, not seen: net/transport.py doRead took the age of a stamp by the wall clock at the read, and held it only against the last read of the same connection: on one that rested, a clock set ahead by an hour (or a machine that was suspended) makes a request as old as the rest was, and pace refuses everything while it remembers such a wait. Ruled out: slewing, 0.5 ms a second. Change: net/stamps.py keeps the two clocks' distance; after a step, stamps from before its first read count by the later of both moments. Tests: tests/test_stamps.py; the one on a socket fails before, a generated one holds that nothing is taken for older than it is.

--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -3,9 +3,9 @@
 Arrival. A process that was kept from running reads late, and the moment of its read says nothing of how long
 the bytes had waited. Linux stamps what a socket receives (SO_TIMESTAMPNS, socket(7)); with the stamp the
 wait is known for each read, and a recorder that runs late still records the truth. Stamps are wall time and
-are turned into the monotonic clock at once, so a step of the wall clock between the two can spoil one read;
-therefore no stamp counts before the last read of its connection, nor after the present one. Where the system
-has no stamps the moment of the read stands in.
+are turned into the monotonic clock at once (net/stamps.py, which knows the wall clock's steps); no stamp
+counts before the last read of its connection, nor after the present one. Where the system has no stamps the
+moment of the read stands in.
 
 Writes. Twisted queues each write until the loop reports the descriptor writable, a turn later: an answer
 decided now would wait for all that the next turn reads. Here a write with nothing queued before it goes to
@@ -30,6 +30,8 @@
 from twisted.internet import main, tcp
 from twisted.internet.protocol import ClientFactory
 
+from sedgepitch.net.stamps import Stamps
+
 SO_TIMESTAMPNS = 35  # asm-generic/socket.h; Python has no name for it
 _STAMP = struct.Struct("@qq")
 _SPACE = socket.CMSG_SPACE(_STAMP.size) if hasattr(socket, "CMSG_SPACE") else 0
@@ -37,6 +39,7 @@
 LOOK_AGAIN = 0.05  # s between looks at connections that are not accepted
 
 now = time.monotonic
+_stamps = Stamps()  # the process has one wall clock
 
 
 class _Stamped(tcp.Connection):
@@ -75,8 +78,7 @@
         for level, kind, stamp in extra:
             if level == socket.SOL_SOCKET and kind == SO_TIMESTAMPNS:
                 seconds, nanos = _STAMP.unpack(stamp)
-                waited = time.time() - (seconds + nanos * 1e-9)
-                arrived = min(moment, max(self._read_at, moment - waited))
+                arrived = max(self._read_at, _stamps.arrived(seconds + nanos * 1e-9, time.time(), moment))
         if len(data) < self.bufferSize:
             self._read_at = moment  # what comes next came after this; a full read may have left some behind
         self.arrived = arrived
