--- a/tests/test_stamps.py
+++ b/tests/test_stamps.py
@@ -10,8 +10,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sedgepitch.net.stamps import Stamps
 from sedgepitch.net import transport
+from sedgepitch.net.stamps import Stamps
 
 EVENTS = st.lists(
     st.one_of(
