The clocks' distance at the start: by the look that took the least time, never too little

Change: core/clock.py unix_ahead, the shortest of five looks, erring to too old. Test: tests/test_stamps.py, generated stops before each look.

--- a/sedgepitch/core/clock.py
+++ b/sedgepitch/core/clock.py
@@ -76,3 +76,21 @@
         """Cancel it if it is still to come."""
         if self.call.active():
             self.call.cancel()
+
+
+def unix_ahead(
+    wall: Callable[[], float] = time.time, monotonic: Callable[[], float] = time.monotonic, tries: int = 5
+) -> float:
+    """What Unix time is ahead of the monotonic clock, in seconds: at most too much, never too little.
+
+    A process that is kept from running between the two looks would take every replica for fresher than it
+    is, by as long as it stood, as long as it lives. So the look counts that took the least time.
+    """
+    least, ahead = float("inf"), 0.0
+    for _ in range(tries):
+        before = monotonic()
+        unix = wall()
+        took = monotonic() - before
+        if took < least:
+            least, ahead = took, unix - before
+    return ahead
--- a/tests/test_stamps.py
+++ b/tests/test_stamps.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from sedgepitch.core.clock import unix_ahead
 from sedgepitch.net import transport
 from sedgepitch.net.stamps import Stamps
 
@@ -83,3 +84,17 @@
         read._read_at -= 1000.0
     for held in (ours, theirs, server):
         held.close()
+
+
+@given(st.lists(st.sampled_from([0.0, 1e-7, 0.004, 0.5]), min_size=15, max_size=15))
+def test_a_process_kept_from_running_at_its_start_takes_no_position_for_newer_than_it_is(stops):
+    """Stops before each look at a clock; by the shortest of five looks at most too old, never too new."""
+    now, left = [50.0], list(stops)
+
+    def look(ahead: float) -> float:
+        now[0] += left.pop(0)
+        return now[0] + ahead
+
+    told = unix_ahead(lambda: look(1e9), lambda: look(0.0))
+    spans = [stops[n + 1] + stops[n + 2] for n in range(0, 15, 3)]
+    assert -1e-6 <= told - 1e9 <= min(spans) + 1e-6
