Zones: a row is judged once for each question

Cause: decide/evidence.py _answering judged each row again that votes and parts had judged already. Change: it takes what they found.

--- a/sedgepitch/decide/evidence.py
+++ b/sedgepitch/decide/evidence.py
@@ -134,7 +134,7 @@
     if not digest.fit:
         return {}
     seen = {row.zone: _alone(row) for row in digest.rows}
-    answering = _answering(digest)
+    answering = _answering(digest, seen)
     # A zone that still answers is bad only beside one that does well: under a load that is too much for all,
     # failures fall where chance has them.
     calm = {
@@ -167,13 +167,14 @@
     """
     if not digest.fit:
         return frozenset()
-    answering = _answering(digest)
+    seen = {row.zone: _alone(row) for row in digest.rows}
+    answering = _answering(digest, seen)
     return frozenset(
         row.zone
         for row in digest.rows
         if row.down
         and row.bad >= LOST_MEMBERS * row.members
-        and _alone(row) is not Vote.LOST
+        and seen[row.zone] is not Vote.LOST
         and answering - {row.zone}
     )
 
@@ -183,12 +184,12 @@
     return min(SEVERAL, there // 2 + 1)
 
 
-def _answering(digest: Digest) -> set[str]:
-    """The zones that serve this driver."""
+def _answering(digest: Digest, seen: Mapping[str, Vote]) -> set[str]:
+    """The zones that serve this driver; `seen` is what its rows say alone."""
     return {
         row.zone
         for row in digest.rows
-        if row.good > 0 and _alone(row) is not Vote.LOST and _failures(row) < FAILING * max(1, row.asked)
+        if row.good > 0 and seen[row.zone] is not Vote.LOST and _failures(row) < FAILING * max(1, row.asked)
     }
 
 
