Log why each client connection closed, and what Twisted logs itself

Closes are counted by reason in the state line; one that this process caused with a request or bytes left behind, and any by a fault, is a line with the request's id, attempts and the system's error. Twisted's warnings, failures and failed accepts are forwarded as lines.

--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -7,9 +7,11 @@
 
 from __future__ import annotations
 
+import errno
 from collections.abc import Mapping
 from typing import Any
 
+from twisted.internet.error import ConnectionDone, ConnectionLost
 from twisted.internet.interfaces import IPushProducer
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -22,6 +24,7 @@
 from sedgepitch.decide.ending import Ending
 from sedgepitch.decide.visitors import Visitors
 from sedgepitch.fronts.postgres import codec, statements
+from sedgepitch.fronts.postgres.closing import CloseLog, CloseReason, CloseReport
 from sedgepitch.fronts.postgres.codec import BadMessage, Reader
 from sedgepitch.fronts.postgres.statements import BadStatement, Statement
 from sedgepitch.interface import Freshness, RequestClass
@@ -60,6 +63,7 @@
         self.accepted = self.bad_messages = self.bad_statements = 0
         self.far: set[ClientConnection] = set()  # that are read beyond READ_AHEAD
         self.unread: set[ClientConnection] = set()  # whose sockets are left unread for what they sent ahead
+        self.closes = CloseLog()
         self.left_unread = self.left_waiting = 0  # clients found gone behind bytes that were not read yet
         self.closing_from = float("inf")  # from then on connections without a request are closed
         self.answered_by = float("inf")  # by then this driver ends, and whatever it took is answered
@@ -133,6 +137,8 @@
         self.ending = False  # an error has been said; what still comes is dropped
         self.dropped = 0
         self.since = 0.0  # when the first byte of what is unread came
+        self.accepted_at = front.clock.now()
+        self.close_reason: CloseReason | None = None  # the first that this side had
 
     # Flow
 
@@ -143,7 +149,7 @@
         now = front.clock.now()
         if not front.descriptors.client_came():
             goes = front.room_from(self, now)
-            goes.transport.abortConnection()
+            goes.abort(CloseReason.EVICTED)
             if goes is self:
                 return
         self.transport.setTcpNoDelay(True)
@@ -156,7 +162,7 @@
         if self.ending:
             self.dropped += len(data)
             if self.dropped > DRAIN:
-                self.transport.abortConnection()
+                self.abort(CloseReason.FLOODED)
             return
         arrived = getattr(self.transport, "arrived", 0.0)
         if arrived and not self.stopped:
@@ -187,7 +193,7 @@
                 self._message(found[0], found[1])
         except BadMessage as error:
             front.bad_messages += 1
-            self.end(codec.error(BROKEN, str(error), fatal=True))
+            self.end(CloseReason.BAD_MESSAGE, codec.error(BROKEN, str(error), fatal=True))
             return
         if self.reader.held <= READ_AHEAD // 2:
             front.far.discard(self)
@@ -199,13 +205,13 @@
             front.visitors.unfinished(self, front.clock.now())
         elif (goes := front.visitors.rests(self, front.clock.now())) is not None:
             if transport.quiet(goes.transport):
-                goes.end(b"")
+                goes.end(CloseReason.REST_LIMIT)
 
     def _greet(self) -> None:
         while (found := self.reader.startup()) is not None:
             code, body = found
             if code == codec.CANCEL:
-                self.end(b"")
+                self.end(CloseReason.TERMINATED)
                 return
             if code in (codec.SSL, codec.GSS):
                 self.transport.write(b"N")
@@ -218,13 +224,24 @@
     def too_slow(self) -> None:
         """Half of something, or nothing, for too long; or an answer that is not taken."""
         if self.clogged or self.ending:
-            self.transport.abortConnection()
+            self.abort(CloseReason.NOT_TAKEN)
         else:
-            self.end(codec.error(BROKEN, "nothing whole came in time", fatal=True))
+            last = codec.error(BROKEN, "nothing whole came in time", fatal=True)
+            self.end(CloseReason.TOO_SLOW, last)
+
+    def abort(self, reason: CloseReason) -> None:
+        """Close at once, with a reset."""
+        self._closes(reason)
+        self.transport.abortConnection()
 
-    def end(self, last: bytes) -> None:
+    def _closes(self, reason: CloseReason) -> None:
+        if self.close_reason is None:
+            self.close_reason = reason
+
+    def end(self, reason: CloseReason, last: bytes = b"") -> None:
         """Say the last thing, read on a little so that it arrives, and close."""
         front = self.front
+        self._closes(reason)
         self.ending = True
         front.visitors.left(self)
         if last:
@@ -246,7 +263,7 @@
         self._forget_request()
         self.ending = True
         self.reader = Reader({})
-        self.transport.abortConnection()
+        self.abort(CloseReason.LEFT_UNREAD)
 
     def close_free(self, last: bool) -> None:
         """This driver ends: close, unless something is under way here or lies unread.
@@ -256,17 +273,18 @@
         if self.busy or self.ending or not transport.quiet(self.transport):
             return
         if not self.reader.held:
-            self.end(b"")
+            self.end(CloseReason.SHUTDOWN)
         elif last:
-            self.end(codec.error(ENDING, "this driver ends", fatal=True))
+            self.end(CloseReason.SHUTDOWN, codec.error(ENDING, "this driver ends", fatal=True))
 
     def _close(self) -> None:
         if self in self.front.connections:
             self.transport.abortConnection()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
-        """The client has left."""
+        """The connection has ended, by either side."""
         front = self.front
+        front.closes.closed(self._close_report(reason))
         front.connections.discard(self)
         front.visitors.left(self)
         front.unread.discard(self)
@@ -274,6 +292,18 @@
         front.descriptors.client_left()
         self._forget_request()
 
+    def _close_report(self, lost: Failure) -> CloseReport:
+        account = self.account
+        return CloseReport(
+            number=self.number,
+            reason=self.close_reason or _reason_of(lost),
+            detail=lost.getErrorMessage(),
+            request=account.command.payload.id.decode("ascii", "replace") if account is not None else "",
+            attempts=account.attempts if account is not None else 0,
+            read_bytes=self.reader.held,
+            lasted=self.front.clock.now() - self.accepted_at,
+        )
+
     def _forget_request(self) -> None:
         if self.account is not None:
             account, self.account = self.account, None
@@ -284,7 +314,7 @@
 
     def _message(self, kind: bytes, raw: bytes) -> None:
         if kind == b"X":
-            self.end(b"")
+            self.end(CloseReason.TERMINATED)
             return
         if raw[-1]:
             raise BadMessage("a statement without its end")
@@ -386,6 +416,19 @@
             self.advance()
 
 
+def _reason_of(lost: Failure) -> CloseReason:
+    """Return why a connection ended that this program did not close by intent."""
+    problem = lost.value
+    if isinstance(problem, ConnectionDone):
+        return CloseReason.PEER_CLOSED
+    if isinstance(problem, (transport.ReadFailed, transport.SocketFailed)):
+        reset = problem.errno in (errno.ECONNRESET, errno.EPIPE)
+        return CloseReason.PEER_RESET if reset else CloseReason.CONNECTION_FAILED
+    if isinstance(problem, ConnectionLost):  # the transport's own word for a write that failed
+        return CloseReason.PEER_RESET
+    return CloseReason.FAULT
+
+
 class ClientFactory(Factory):
     """Makes a protocol for each client of a listener."""
 
--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -20,6 +20,7 @@
 
 from __future__ import annotations
 
+import os
 import select
 import socket
 import struct
@@ -27,7 +28,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet import main, tcp
+from twisted.internet import error, main, tcp
 from twisted.internet.protocol import ClientFactory
 
 from sedgepitch.net.stamps import Stamps
@@ -38,6 +39,23 @@
 
 LOOK_AGAIN = 0.05  # s between looks at connections that are not accepted
 
+
+class ReadFailed(error.ConnectionLost):
+    """Reading from a connection failed; `errno` is the system's number."""
+
+    def __init__(self, errno: int) -> None:
+        super().__init__(f"read failed: {os.strerror(errno)}")
+        self.errno = errno
+
+
+class SocketFailed(error.ConnectionLost):
+    """The socket reported an error that no read returned; `errno` is the system's number."""
+
+    def __init__(self, errno: int) -> None:
+        super().__init__(f"socket error: {os.strerror(errno)}")
+        self.errno = errno
+
+
 now = time.monotonic
 _stamps = Stamps()  # the process has one wall clock
 
@@ -69,8 +87,8 @@
                 data, extra = self.socket.recv(self.bufferSize), []
         except BlockingIOError:
             return None
-        except OSError:
-            return main.CONNECTION_LOST
+        except OSError as problem:
+            return ReadFailed(problem.errno or 0)
         if not data:
             return main.CONNECTION_DONE
         moment = now()
@@ -84,8 +102,10 @@
         self.arrived = arrived
         self.protocol.dataReceived(data)  # type: ignore[call-arg,misc]
         # Guards against a reset that hides behind data (above). May hurt: one more system call a read.
-        if self.connected and self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            return main.CONNECTION_LOST
+        if self.connected:
+            pending = self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if pending:
+                return SocketFailed(pending)
         return None
 
     def write(self, data: bytes) -> None:
--- a/sedgepitch/node/__main__.py
+++ b/sedgepitch/node/__main__.py
@@ -55,7 +55,9 @@
     from twisted.internet.error import CannotListenError
 
     from sedgepitch.node.driver import Driver
+    from sedgepitch.node.twisted_log import forward_twisted_log
 
+    forward_twisted_log(lines.say)
     driver = Driver(reactor, config, lines, wall)
     stopping, reading = False, 0
 
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -16,6 +16,7 @@
 from sedgepitch.decide.membership import Membership, Version
 from sedgepitch.fleet.catalog import Catalog
 from sedgepitch.fronts.postgres.client import ClientFactory, Front
+from sedgepitch.fronts.postgres.closing import CloseReport
 from sedgepitch.fronts.postgres.member import PgMembers
 from sedgepitch.net import transport
 from sedgepitch.node.config import Config
@@ -72,6 +73,7 @@
             on_fault=self._fault,
         )
         self.front = Front(self.engine, self.clock, self.engine.classes, wall, self.descriptors)
+        self.front.closes.report = self._client_closed
         self.members.heard = self._heard
         self.members.forgotten = self._forgotten
         self.members.say = lines.say
@@ -191,6 +193,18 @@
         place = f"{trace.tb_frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}" if trace else "?"
         self.lines.say("engine.fault", at=where, place=place, error=f"{type(error).__name__}: {error}"[:300])
 
+    def _client_closed(self, report: CloseReport) -> None:
+        self.lines.say(
+            "client.closed",
+            connection=report.number,
+            reason=report.reason.value,
+            detail=report.detail,
+            request=report.request or "none",
+            attempts=report.attempts,
+            read_bytes=report.read_bytes,
+            lasted_s=round(report.lasted, 3),
+        )
+
     def figures(self) -> dict[str, Any]:
         """How the driver itself does."""
         engine, front, now = self.engine, self.front, self.clock.now()
@@ -217,6 +231,8 @@
             "hurried": engine.hurried,
             "overdue": engine.overdue,
             "faults": engine.faults,
+            "closed": front.closes.summary(),
+            "closed_with_request": front.closes.with_request,
             "cpu_s": round(time.process_time(), 2),
         }
 
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,63 @@
+"""Why client connections were closed: counted by reason, reported where an operator should see it."""
+
+from __future__ import annotations
+
+import errno
+
+import pytest
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.python.failure import Failure
+
+from sedgepitch.fronts.postgres.closing import CloseLog, CloseReason, CloseReport
+from sedgepitch.net.transport import ReadFailed, SocketFailed
+from tests.pg import Stage, read
+
+
+def report(reason: CloseReason, request: str = "", read_bytes: int = 0) -> CloseReport:
+    return CloseReport(1, reason, "", request, 0, read_bytes, 1.0)
+
+
+@pytest.mark.parametrize(
+    ("closed", "reported"),
+    [
+        (report(CloseReason.PEER_CLOSED, request="1"), False),
+        (report(CloseReason.PEER_RESET, request="1"), False),
+        (report(CloseReason.SHUTDOWN), False),
+        (report(CloseReason.SHUTDOWN, request="1"), True),
+        (report(CloseReason.REST_LIMIT, read_bytes=3), True),
+        (report(CloseReason.EVICTED), True),
+        (report(CloseReason.CONNECTION_FAILED), True),
+        (report(CloseReason.FAULT), True),
+    ],
+)
+def test_only_unusual_closes_are_reported_and_all_are_counted(closed, reported):
+    found = []
+    log = CloseLog(found.append)
+    log.closed(closed)
+    assert found == ([closed] if reported else [])
+    assert log.counts == {closed.reason: 1} and log.with_request == bool(closed.request)
+    assert log.summary() == f"{closed.reason.value}:1"
+
+
+@pytest.mark.parametrize(
+    ("problem", "reason"),
+    [
+        (ConnectionDone(), CloseReason.PEER_CLOSED),
+        (ConnectionLost(), CloseReason.PEER_RESET),
+        (ReadFailed(errno.ECONNRESET), CloseReason.PEER_RESET),
+        (ReadFailed(errno.ENOMEM), CloseReason.CONNECTION_FAILED),
+        (SocketFailed(errno.ETIMEDOUT), CloseReason.CONNECTION_FAILED),
+        (ValueError("a fault"), CloseReason.FAULT),
+    ],
+)
+def test_a_connection_that_ends_is_reported_with_its_request_and_its_cause(problem, reason):
+    stage = Stage()
+    found = []
+    stage.front.closes.report = found.append
+    connection, _ = stage.client()
+    connection.dataReceived(read(1, d="60000"))
+    stage.turn()
+    connection.connectionLost(Failure(problem))
+    assert stage.front.closes.counts == {reason: 1} and stage.front.closes.with_request == 1
+    for line in found:
+        assert line.request and line.attempts == 1 and str(problem) in line.detail
--- /dev/null
+++ b/tests/test_twisted_log.py
@@ -0,0 +1,49 @@
+"""What Twisted logs itself reaches the log of the process, bounded to one line an event."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.logger import LogLevel
+from twisted.python.failure import Failure
+
+from sedgepitch.node.twisted_log import LONGEST_TEXT, TwistedLogForwarder
+
+
+@pytest.fixture
+def forwarded():
+    lines = []
+    forwarder = TwistedLogForwarder(lambda event, **fields: lines.append((event, fields)))
+    return forwarder, lines
+
+
+def test_a_failure_is_one_line_with_its_place(forwarded):
+    forwarder, lines = forwarded
+    try:
+        raise ValueError("two\nlines " + "x" * 1000)
+    except ValueError:
+        failure = Failure()
+    forwarder({"log_level": LogLevel.critical, "log_failure": failure, "isError": 1})
+    event, fields = lines[0]
+    assert event == "twisted.failure"
+    assert fields["place"].startswith("test_twisted_log.py:")
+    assert fields["error"].startswith("ValueError: two lines") and len(fields["error"]) == LONGEST_TEXT
+
+
+def test_a_failed_accept_is_a_line_though_twisted_calls_it_information(forwarded):
+    forwarder, lines = forwarded
+    forwarder(
+        {
+            "log_level": LogLevel.info,
+            "log_namespace": "twisted.internet.tcp",
+            "log_format": "Could not accept new connection ({acceptError})",
+            "acceptError": "ENFILE",
+        }
+    )
+    assert lines == [("twisted", {"level": "info", "text": "Could not accept new connection (ENFILE)"})]
+
+
+def test_other_information_is_not_forwarded(forwarded):
+    forwarder, lines = forwarded
+    forwarder({"log_level": LogLevel.info, "log_namespace": "twisted.internet.tcp", "log_format": "starting"})
+    forwarder({"log_level": LogLevel.debug, "log_namespace": "other", "log_format": "EMFILE"})
+    assert lines == []
