--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,7 @@
 # Everything runs in a virtual environment of its own; .venv belongs to deploy/balancer.toml.
 VENV := build/venv
+# More options for pytest, as .ci/run passes them.
+PYTEST_OPTIONS :=
 STAMP := $(VENV)/.installed
 RUN := $(VENV)/bin/python -m sedgepitch
 
@@ -14,7 +16,7 @@
 	$(RUN) badday
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest -q
+	$(VENV)/bin/python -m pytest -q $(PYTEST_OPTIONS)
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff check .
--- a/tests/platform.py
+++ b/tests/platform.py
@@ -181,6 +181,7 @@
         self.limits = {"cores": 1.0, "memory_mb": 192, "sockets": 256}
         self.process: subprocess.Popen[bytes] | None = None
         self.program = "sedgepitch.node"
+        self.environment: dict[str, str] = {}  # added to the driver's
         self.log = folder / "driver.txt"
 
     def listing(self, complete: bool = True, **changes: str) -> list[dict[str, Any]]:
@@ -227,6 +228,7 @@
             "RELAY_CONFIG": str(self.folder / "config.json"),
             "RELAY_NAME": "n1",
             "PYTHONPATH": str(ROOT),
+            **self.environment,
         }
         with self.log.open("wb") as log:
             self.process = subprocess.Popen(
