Accept: a shortage leaves the backlog as it is instead of closing what waits there

Own accept loop in net/listener.py, judged by net/accepting.py: errors of one connection go on to the next, shortages pause 5 to 100 ms and free the longest idle server connection, nothing in the backlog is closed. An accepted connection whose transport cannot be set up is kept and set up again. While shutting down, accepting is tried again until others are closed; before, the loop over a readable listener with a failing accept span for as long as it failed. All listeners use it.

--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -26,7 +26,7 @@
 from sedgepitch.fronts.mongo.client import ClientFactory, Context, close_at_members
 from sedgepitch.fronts.mongo.commands import Request
 from sedgepitch.fronts.mongo.member import MongoMembers
-from sedgepitch.net import transport
+from sedgepitch.net import listener
 from sedgepitch.observe import log
 from sedgepitch.observe.metrics import Metrics
 from sedgepitch.policy import Router
@@ -200,17 +200,18 @@
         factory = ClientFactory(self.context)
         host, port = self.settings.listen
         if self.share_port:
-            listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-            listener.bind((host, port))
-            listener.listen(1024)
-            listener.setblocking(False)
-            opened = transport.adopt(self.reactor, listener.fileno(), factory)
-            listener.close()
+            shared = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+            shared.bind((host, port))
+            shared.listen(1024)
+            shared.setblocking(False)
+            opened = listener.adopt(self.reactor, shared.fileno(), factory)
+            shared.close()
         else:
-            opened = transport.listen(self.reactor, port, factory, host, 1024)
+            opened = listener.listen(self.reactor, port, factory, host, 1024)
         opened.may_accept = lambda: not self.engine.own.late
+        opened.on_problem = self._accept_failed
         self.ports.append(opened)
         address = opened.getHost()
         if self.settings.metrics is not None:
@@ -239,6 +240,15 @@
         if self.members.links:
             self._say_ready()
 
+    def _accept_failed(self, problem: listener.AcceptProblem) -> None:
+        self.log.warning(
+            "accept.failed",
+            call=problem.call,
+            error=problem.name,
+            text=problem.text,
+            again_in_s=problem.pause,
+        )
+
     def _door_state(self) -> dict[str, Any]:
         door = self.engine.door
         return {} if door is None else door.state(self.clock.now())
--- a/sedgepitch/fronts/postgres/member.py
+++ b/sedgepitch/fronts/postgres/member.py
@@ -327,7 +327,7 @@
         """Send a statement, where it can leave by then."""
         link = self.links[member]
         if self.room_short():
-            self._make_room()
+            self.close_longest_idle()
         return link.pool.send(payload, on_end, by)
 
     def probe(self, member: int, on_end: Ended) -> None:
@@ -353,8 +353,8 @@
         """Whether descriptors for members are nearly out."""
         return bool(getattr(self.room, "members_short", False))
 
-    def _make_room(self) -> None:
-        """Close the connection that has been idle longest, of whatever member."""
+    def close_longest_idle(self) -> None:
+        """Free a descriptor: close the connection that has been idle longest, of whatever member."""
         idle = [link for link in self.links.values() if link.pool.idle]
         if idle:
             oldest = min(idle, key=lambda link: link.pool.idle[0].idle_since)
--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -37,8 +37,6 @@
 _STAMP = struct.Struct("@qq")
 _SPACE = socket.CMSG_SPACE(_STAMP.size) if hasattr(socket, "CMSG_SPACE") else 0
 
-LOOK_AGAIN = 0.05  # s between looks at connections that are not accepted
-
 
 class ReadFailed(error.ConnectionLost):
     """Reading from a connection failed; `errno` is the system's number."""
@@ -143,34 +141,6 @@
         super()._connectDone()
 
 
-class StampedPort(tcp.Port):
-    """A listening port of such connections. `may_accept` is asked before connections are accepted.
-
-    Those that are not accepted wait in the system's backlog, before their first request and so before any
-    promise: the cheapest place for a process that cannot read what it already has.
-    """
-
-    transport = StampedServer  # type: ignore[assignment]
-    may_accept: Callable[[], bool] | None = None
-
-    def doRead(self) -> None:
-        """Accept what waits, or look again a little later."""
-        if self.may_accept is None or self.may_accept():
-            super().doRead()
-            return
-        self.stopReading()
-        self.reactor.callLater(LOOK_AGAIN, self._look_again)
-
-    def accept_all(self) -> None:
-        """Accept whatever waits in the backlog, so that closing the port cuts off nobody who is connected."""
-        while self.connected and _readable(self.fileno()):
-            super().doRead()
-
-    def _look_again(self) -> None:
-        if self.connected and not self.disconnecting:
-            self.startReading()
-
-
 class Opening(ClientFactory):
     """Opens one connection: `make` gives its protocol, `failed` hears why none came about."""
 
@@ -193,12 +163,6 @@
         return StampedClient(self.host, self.port, self.bindAddress, self, self.reactor)
 
 
-def _readable(descriptor: int) -> bool:
-    asked = select.poll()
-    asked.register(descriptor, select.POLLIN)
-    return bool(asked.poll(0))
-
-
 def left(opened: Any) -> bool:
     """Whether the peer of an open connection has ended it, though what it sent before lies unread.
 
@@ -228,20 +192,6 @@
     return False
 
 
-def listen(reactor: Any, port: int, factory: Any, interface: str, backlog: int) -> StampedPort:
-    """Open a port, like `reactor.listenTCP`; raises CannotListenError."""
-    opened = StampedPort(port, factory, backlog, interface, reactor)
-    opened.startListening()
-    return opened
-
-
-def adopt(reactor: Any, descriptor: int, factory: Any) -> StampedPort:
-    """Take over a listening IPv4 socket, like `reactor.adoptStreamPort`."""
-    opened: StampedPort = StampedPort._fromListeningDescriptor(reactor, descriptor, socket.AF_INET, factory)
-    opened.startListening()
-    return opened
-
-
 def connect(reactor: Any, host: str, port: int, factory: Any, timeout: float) -> Any:
     """Open a connection, like `reactor.connectTCP`; returns the connector."""
     connector = _Connector(host, port, factory, timeout, None, reactor)
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -18,7 +18,7 @@
 from sedgepitch.fronts.postgres.client import ClientFactory, Front
 from sedgepitch.fronts.postgres.closing import CloseReport
 from sedgepitch.fronts.postgres.member import PgMembers
-from sedgepitch.net import transport
+from sedgepitch.net.listener import AcceptProblem, Listener, listen
 from sedgepitch.node.config import Config
 from sedgepitch.node.lines import Lines
 from sedgepitch.policy import Router
@@ -86,8 +86,9 @@
             self._take,
             self._troubled,
         )
-        self.port: Any = None
+        self.port: Listener | None = None
         self.trouble = ""
+        self.accept_failures = 0  # failed accepts and connections that could not be set up at once
 
     def start(self) -> None:
         """Believe the remembered list, follow discovery, listen. Raises CannotListenError."""
@@ -95,8 +96,10 @@
             self._take(self.config.known, remembered=True)
         self.catalog.start()
         host, port = self.config.listen
-        self.port = transport.listen(self.reactor, port, ClientFactory(self.front), host, BACKLOG)
-        self.port.numberAccepts = ACCEPTS
+        self.port = listen(self.reactor, port, ClientFactory(self.front), host, BACKLOG)
+        self.port.accepts_per_turn = ACCEPTS
+        self.port.on_problem = self._accept_failed
+        self.port.on_descriptors_out = self.members.close_longest_idle
         self.clock.call_later(TRACE_EVERY if self.lines.tracing else REPORT_EVERY, self._report)
         config = self.config
         self.lines.say(
@@ -163,9 +166,10 @@
         def look() -> None:
             now = self.clock.now()
             if now >= ending.accepting_until and self.port is not None:
-                port, self.port = self.port, None
-                port.accept_all()
-                port.stopListening()
+                # Connections that a shortage keeps in the backlog are tried again until others are closed.
+                if self.port.accept_all() or now >= ending.closing_from:
+                    port, self.port = self.port, None
+                    port.stopListening()
             self.front.close_free()
             if not ending.over(
                 now, self.port is not None, len(self.front.connections), self.engine.ledger.owed
@@ -193,6 +197,16 @@
         place = f"{trace.tb_frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}" if trace else "?"
         self.lines.say("engine.fault", at=where, place=place, error=f"{type(error).__name__}: {error}"[:300])
 
+    def _accept_failed(self, problem: AcceptProblem) -> None:
+        self.accept_failures += 1
+        self.lines.say(
+            "accept.failed",
+            call=problem.call,
+            error=problem.name,
+            text=problem.text,
+            again_in_s=problem.pause,
+        )
+
     def _client_closed(self, report: CloseReport) -> None:
         self.lines.say(
             "client.closed",
@@ -231,8 +245,6 @@
             "hurried": engine.hurried,
             "overdue": engine.overdue,
             "faults": engine.faults,
-            "closed": front.closes.summary(),
-            "closed_with_request": front.closes.with_request,
             "cpu_s": round(time.process_time(), 2),
         }
 
@@ -256,5 +268,12 @@
 
     def _report(self) -> None:
         self.lines.say("state", **self.figures())
+        closes = self.front.closes
+        self.lines.say(
+            "closes",
+            accept_failures=self.accept_failures,
+            with_request=closes.with_request,
+            reasons=closes.summary(),
+        )
         self.lines.say("beliefs", members=self.beliefs())
         self.clock.call_later(TRACE_EVERY if self.lines.tracing else REPORT_EVERY, self._report)
--- a/sedgepitch/standins/fleet.py
+++ b/sedgepitch/standins/fleet.py
@@ -16,7 +16,7 @@
 from twisted.protocols.basic import LineReceiver
 from twisted.python.failure import Failure
 
-from sedgepitch.net import transport
+from sedgepitch.net.listener import listen
 from sedgepitch.standins.group import Group
 from sedgepitch.standins.member import Member, Trap
 from sedgepitch.standins.recorder import Recorder
@@ -113,7 +113,7 @@
         factory = Factory.forProtocol(lambda: _Control(self))
         factory.noisy = False
         host, port = self.timing.control
-        self.port = transport.listen(self.reactor, port, factory, host, 50)
+        self.port = listen(self.reactor, port, factory, host, 50)
         for member in self.members.values():
             self.record("member", m=member.id, g=member.group.number, cores=self.timing.cores)
 
--- a/sedgepitch/standins/member.py
+++ b/sedgepitch/standins/member.py
@@ -20,7 +20,7 @@
 from sedgepitch.fronts.mongo import codec
 from sedgepitch.fronts.mongo.codec import Message, WireError
 from sedgepitch.fronts.mongo.framing import FrameReceiver
-from sedgepitch.net import transport
+from sedgepitch.net.listener import listen
 from sedgepitch.standins.group import Group
 from sedgepitch.standins.recorder import Recorder
 from sedgepitch.standins.store import CommandError, Document, Store
@@ -190,7 +190,7 @@
         """Open its port."""
         factory = Factory.forProtocol(lambda: Served(self))
         factory.noisy = False
-        self.port = transport.listen(self.reactor, self.address[1], factory, self.address[0], 512)
+        self.port = listen(self.reactor, self.address[1], factory, self.address[0], 512)
         self.address = (self.address[0], self.port.getHost().port)
 
     def alive(self) -> bool:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -587,10 +587,11 @@
     def __init__(self, accept) -> None:
         self.accept, self.queue, self.closed = accept, 0, False
 
-    def accept_all(self) -> None:
+    def accept_all(self) -> bool:
         while self.queue:
             self.queue -= 1
             self.accept()
+        return True
 
     def stopListening(self) -> None:  # noqa: N802 (the port's name)
         self.closed = True
--- a/tests/transport_case.py
+++ b/tests/transport_case.py
@@ -20,7 +20,7 @@
     reactor = install(name)
     from twisted.internet.protocol import Factory, Protocol
 
-    from sedgepitch.net import transport
+    from sedgepitch.net.listener import listen
 
     seen: dict = {"lost": 0, "data": 0, "paused": 0, "resumed": 0, "raised": ""}
     held: list = []
@@ -53,7 +53,7 @@
             seen["lost"] += 1
 
     answered, go_on = threading.Event(), threading.Event()
-    port = transport.listen(reactor, 0, Factory.forProtocol(Served), "127.0.0.1", 50)
+    port = listen(reactor, 0, Factory.forProtocol(Served), "127.0.0.1", 50)
     client = socket.create_connection(("127.0.0.1", port.getHost().port), timeout=WITHIN)
 
     def write_later() -> None:
@@ -103,8 +103,8 @@
         elif case == "accept_all":
             before = len(held)
             waiting = [socket.create_connection(("127.0.0.1", port.getHost().port)) for _ in range(40)]
-            port.numberAccepts = 16
-            port.accept_all()  # in this very turn, all of them wait
+            port.accepts_per_turn = 16
+            assert port.accept_all()  # in this very turn, all of them wait
             port.stopListening()
             seen["accepted"] = len(held) - before
             for one in waiting:
