A request's wait in the backlog is taken from its time, and is no delay of this process's

Now the kernel tells how long ago a new connection last received data (TCP_INFO, its own clock), which bounds the receive stamp of its first read. That wait is not counted as this process's delay in reading.

--- a/sedgepitch/fronts/mongo/client.py
+++ b/sedgepitch/fronts/mongo/client.py
@@ -57,11 +57,11 @@
     log: Callable[..., None] = lambda *a, **k: None
     counted: Callable[[str], None] = lambda name: None
 
-    def read(self, arrived: float) -> None:
-        """Note how long bytes had waited that are now read; 0 where that is not known."""
-        if arrived:
+    def read(self, transport: Any) -> None:
+        """Note how long the bytes had waited that are now read, where that is known."""
+        if getattr(transport, "arrived", 0.0):
             now = self.clock.now()
-            self.engine.waited(now - arrived, now)
+            self.engine.waited(transport.read_delay(now), now)
 
 
 def hello_reply(context: Context, number: int, compressors: list[str]) -> dict[str, Any]:
@@ -149,7 +149,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Take bytes; while a command is under way they only gather."""
         if not self.reading_stopped:
-            self.context.read(getattr(self.transport, "arrived", 0.0))
+            self.context.read(self.transport)
         super().dataReceived(data)
         if self.paused and self._held > READ_AHEAD and not self.reading_stopped:
             self.reading_stopped = True
--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -167,7 +167,7 @@
         arrived = getattr(self.transport, "arrived", 0.0)
         if arrived and not self.stopped:
             now = front.clock.now()
-            front.engine.waited(now - arrived, now)
+            front.engine.waited(self.transport.read_delay(now), now)
         if not self.reader.held:
             self.since = arrived or front.clock.now()
             front.visitors.spoke(self)
--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -36,6 +36,12 @@
 
 SO_TIMESTAMPNS = 35  # asm-generic/socket.h; Python has no name for it
 _STAMP = struct.Struct("@qq")
+# struct tcp_info (linux/tcp.h): eight bytes of small fields, then 32-bit counters, of which
+# tcpi_last_data_recv (ms) is the twelfth.
+_LAST_DATA_RECEIVED = struct.Struct("@I")
+_LAST_DATA_OFFSET = 8 + 11 * 4
+_TCP_INFO_SIZE = _LAST_DATA_OFFSET + _LAST_DATA_RECEIVED.size
+LONGEST_IN_BACKLOG = 60.0  # s; no client waits longer, so more is no age of a request
 _SPACE = socket.CMSG_SPACE(_STAMP.size) if hasattr(socket, "CMSG_SPACE") else 0
 
 
@@ -79,16 +85,19 @@
 class _Stamped(tcp.Connection):
     """The differences, for accepted and for opened connections alike.
 
-    `arrived` is when the bytes that `dataReceived` is being given came, in monotonic seconds.
+    `arrived` is when the bytes that `dataReceived` is being given came, and `opened_at` when the connection
+    was set up here, in monotonic seconds. Bytes may have come before that, while it waited in the backlog;
+    that wait is the request's, but says nothing of how late this process reads.
     """
 
     arrived = 0.0
+    opened_at = 0.0
     _read_at = 0.0
     _stamps = False
     _failing_since: float | None = None  # the first of the passing errors in a row
 
     def _stamp_reads(self) -> None:
-        self._read_at = now()
+        self._read_at = self.opened_at = now()
         try:
             self.socket.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
             self._stamps = bool(_SPACE)
@@ -184,6 +193,10 @@
         except OSError:
             pass
 
+    def read_delay(self, moment: float) -> float:
+        """Return for how long the bytes at hand waited for this process's read, in s; 0 where unknown."""
+        return moment - max(self.arrived, self.opened_at) if self.arrived else 0.0
+
     def write(self, data: bytes) -> None:
         """Write at once what the socket takes, and queue the rest."""
         if self.connected and not (
@@ -203,12 +216,30 @@
         return len(self.dataBuffer) - self.offset + self._tempDataLen
 
 
+def seconds_since_received(connected: socket.socket) -> float:
+    """Return how long ago a TCP connection last received data, or was established where none has come.
+
+    By the kernel's own clock, which no step of the wall clock moves (tcp(7), TCP_INFO; a few milliseconds of
+    resolution). 0 where the system does not tell.
+    """
+    try:
+        info = connected.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_SIZE)
+    except OSError:
+        return 0.0
+    if len(info) < _TCP_INFO_SIZE:
+        return 0.0
+    (milliseconds,) = _LAST_DATA_RECEIVED.unpack_from(info, _LAST_DATA_OFFSET)
+    return min(milliseconds / 1000.0, LONGEST_IN_BACKLOG)
+
+
 class StampedServer(_Stamped, tcp.Server):
     """An accepted connection."""
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self._stamp_reads()
+        # What came while the connection waited in the backlog came before it was accepted.
+        self._read_at -= seconds_since_received(self.socket)
 
 
 class StampedClient(_Stamped, tcp.Client):
--- a/tests/front.py
+++ b/tests/front.py
@@ -102,6 +102,7 @@
         connection = ClientConnection(self.context, 1)
         transport = StringTransport()
         transport.set_no_delay = lambda: None
+        transport.read_delay = lambda moment: moment - transport.arrived
         transport.abortConnection = transport.loseConnection
         connection.makeConnection(transport)
         return connection, transport
--- a/tests/pg.py
+++ b/tests/pg.py
@@ -31,6 +31,9 @@
         self.arrived = 0.0
         self.paused_reads = 0
 
+    def read_delay(self, moment: float) -> float:
+        return moment - self.arrived
+
     def set_no_delay(self) -> None:
         pass
 
--- a/tests/test_syscall_failures.py
+++ b/tests/test_syscall_failures.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import errno
+import re
 import signal
 import socket
 import time
@@ -112,6 +113,30 @@
     assert faulty.process.poll() is None
 
 
+# Time that a request waits in the backlog is the client's time
+
+
+def test_a_request_whose_time_is_over_in_the_backlog_is_answered_and_sent_to_no_server(faulty):
+    suspend(faulty)
+    client = Client(faulty.port, greet=False)
+    client.held.sendall(codec.startup("web", "orders") + codec.query(look(1, d=1000)))
+    time.sleep(1.2)  # more is fine: its time is over by then
+    resume(faulty)
+    assert answer_of(client)[0] == "error"
+    assert not [text for member in faulty.members for text in member.statements]
+
+
+def test_a_server_is_told_only_what_is_left_after_the_wait_in_the_backlog(faulty):
+    suspend(faulty)
+    client = Client(faulty.port, greet=False)
+    client.held.sendall(codec.startup("web", "orders") + codec.query(look(1, d=15000)))
+    time.sleep(1.0)  # more is fine: less is left then
+    resume(faulty)
+    assert answer_of(client) == value(1)
+    (statement,) = [text for member in faulty.members for text in member.statements]
+    assert int(re.search(r",d=(\d+)", statement)[1]) <= 14_000 + 150
+
+
 # The same mistake elsewhere: a passing error on one call taken for the end of a connection
 
 PASSING = [
