Accept without a free descriptor: what is idle is closed, servers' side first, then clients

At EMFILE and ENFILE one idle connection goes for each failed accept; never a client that is busy or whose request lies unread. Measured: test with the limit lowered under a running process (prlimit), six newcomers all answered, with and without idle clients.

--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -92,6 +92,13 @@
                 return goes
         return newcomer
 
+    def free_descriptor(self) -> None:
+        """Close the client that can best be spared; none that is busy or whose request lies unread."""
+        while (goes := self.visitors.make_room(self.clock.now())) is not None:
+            if transport.quiet(goes.transport):
+                goes.abort(CloseReason.EVICTED)
+                return
+
     def close_free(self) -> None:
         """Where it is time, close whoever has nothing under way."""
         now = self.clock.now()
--- a/sedgepitch/fronts/postgres/member.py
+++ b/sedgepitch/fronts/postgres/member.py
@@ -353,12 +353,17 @@
         """Whether descriptors for members are nearly out."""
         return bool(getattr(self.room, "members_short", False))
 
-    def close_longest_idle(self) -> None:
-        """Free a descriptor: close the connection that has been idle longest, of whatever member."""
+    def close_longest_idle(self) -> bool:
+        """Free a descriptor: close the connection that has been idle longest, of whatever member.
+
+        Returns False where none is idle.
+        """
         idle = [link for link in self.links.values() if link.pool.idle]
-        if idle:
-            oldest = min(idle, key=lambda link: link.pool.idle[0].idle_since)
-            oldest.pool.idle.pop(0).close()
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda link: link.pool.idle[0].idle_since)
+        oldest.pool.idle.pop(0).close()
+        return True
 
     def _tidy(self) -> None:
         now = self.clock.now()
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -112,7 +112,7 @@
         self.port = port
         port.accepts_per_turn = ACCEPTS
         port.on_problem = self._accept_failed
-        port.on_descriptors_out = self.members.close_longest_idle
+        port.on_descriptors_out = self._free_descriptor
         config = self.config
         self.lines.say(
             "listening",
@@ -211,6 +211,11 @@
         place = f"{trace.tb_frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}" if trace else "?"
         self.lines.say("engine.fault", at=where, place=place, error=f"{type(error).__name__}: {error}"[:300])
 
+    def _free_descriptor(self) -> None:
+        """The system has no descriptor for a client that waits: close what is idle, servers' side first."""
+        if not self.members.close_longest_idle():
+            self.front.free_descriptor()
+
     def _accept_failed(self, problem: AcceptProblem) -> None:
         self.accept_failures += 1
         self.lines.say(
--- a/tests/test_syscall_failures.py
+++ b/tests/test_syscall_failures.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import errno
+import os
 import re
+import resource
 import signal
 import socket
 import time
@@ -113,6 +115,23 @@
     assert faulty.process.poll() is None
 
 
+@pytest.mark.parametrize("idle_clients", [0, 12])
+def test_a_client_is_served_though_the_process_has_no_descriptor_left(faulty, idle_clients):
+    first = faulty.client()
+    assert first.ask(look(1)) == value(1)  # leaves an idle connection to a server
+    kept = [faulty.client() for _ in range(idle_clients)]
+    for number, client in enumerate(kept, 10):
+        assert client.ask(look(number)) == value(number)
+    pid = faulty.process.pid
+    highest = max(int(name) for name in os.listdir(f"/proc/{pid}/fd"))
+    resource.prlimit(pid, resource.RLIMIT_NOFILE, (highest + 1, highest + 1))
+    newcomers = [waiting_client(faulty, number) for number in range(40, 46)]
+    answers = [answer_of(client) for client in newcomers]
+    # How many can be held at once is the system's matter; nobody is closed without an answer.
+    assert "closed" not in [kind for kind, _ in answers]
+    assert faulty.process.poll() is None
+
+
 # Time that a request waits in the backlog is the client's time
 
 
