Connections held up by this process's own shortage are tried again, and blamed on no server

An idle client goes for a missing descriptor only where the shortage has lasted for 0.5 s, and in order; lines of failed accepts come five a second at most and no longer drown others; the reasons of closes are said at the end, too.

--- a/sedgepitch/fleet/catalog.py
+++ b/sedgepitch/fleet/catalog.py
@@ -20,7 +20,7 @@
 from sedgepitch.decide.membership import Address, Entry, Version
 from sedgepitch.decide.watches import Watches
 from sedgepitch.interface import State
-from sedgepitch.net import transport
+from sedgepitch.net.connecting import connect
 
 CONNECT_WITHIN = 1.0  # s; discovery stands on this machine
 MOST_OBJECT = 4 * 1024 * 1024  # bytes
@@ -170,7 +170,7 @@
     def open(self) -> None:
         """Begin to connect; how that ends is told later, never from within this call."""
         source = self.source
-        self.connector = transport.connect(source.reactor, *self.address, self, CONNECT_WITHIN)
+        self.connector = connect(source.reactor, *self.address, self, CONNECT_WITHIN)
 
     def buildProtocol(self, addr: Any) -> _Watch:
         """It is its own protocol: one factory, one connection."""
--- a/sedgepitch/fronts/mongo/member.py
+++ b/sedgepitch/fronts/mongo/member.py
@@ -22,6 +22,7 @@
 from sedgepitch.fronts.mongo.framing import FrameReceiver
 from sedgepitch.interface import Listing, Report, Result
 from sedgepitch.net import transport
+from sedgepitch.net.connecting import Opening
 
 NOT_PRIMARY = (10107, 10058, 13435, 13436)  # turned away untouched: not the primary, or not readable
 ROLE_LOST = (189, 11602)  # stepped down meanwhile: it may have had an effect
@@ -340,12 +341,13 @@
                 self._sighted(member, group, asked, read_hello(message))
                 ready(connection)
 
-            factory = transport.Opening(
-                lambda: MemberConnection(self.app_name, greeted, failed, lost, self.heard), failed
+            opening = Opening(
+                lambda: MemberConnection(self.app_name, greeted, failed, lost, self.heard),
+                failed,
+                self.limits.connect_within,
             )
-            timeout = max(1.0, self.limits.connect_within)
-            connector = transport.connect(self.reactor, *address, factory, timeout)
-            return connector.disconnect
+            opening.open(self.reactor, address, max(1.0, self.limits.connect_within))
+            return opening.give_up
 
         def judge(exchange: Any, message: Message) -> AttemptEnd:
             end = self._judge(member, group, exchange, message)
--- a/sedgepitch/fronts/postgres/client.py
+++ b/sedgepitch/fronts/postgres/client.py
@@ -96,7 +96,7 @@
         """Close the client that can best be spared; none that is busy or whose request lies unread."""
         while (goes := self.visitors.make_room(self.clock.now())) is not None:
             if transport.quiet(goes.transport):
-                goes.abort(CloseReason.EVICTED)
+                goes.end(CloseReason.EVICTED)  # in order: its next request may be on its way
                 return
 
     def close_free(self) -> None:
--- a/sedgepitch/fronts/postgres/member.py
+++ b/sedgepitch/fronts/postgres/member.py
@@ -21,6 +21,7 @@
 from sedgepitch.fronts.postgres.codec import BadMessage, Reader
 from sedgepitch.interface import Listing, Report, Result, State
 from sedgepitch.net import transport
+from sedgepitch.net.connecting import Opening
 from sedgepitch.settings import report as read_report
 
 MISSES = ("25006", "72000")  # no primary, or too far behind: no effect
@@ -383,12 +384,12 @@
             made = MemberConnection(self.names, self.clock.now, ready, failed, lost, self.heard)
             if self.trace is not None:
                 made.note = self.trace(member)
-            factory = transport.Opening(lambda: made, failed)
-            connector = transport.connect(self.reactor, *address, factory, self.limits.connect_within + 1.0)
+            opening = Opening(lambda: made, failed, self.limits.connect_within)
+            opening.open(self.reactor, address, self.limits.connect_within + 1.0)
 
             def give_up() -> None:
                 if made.transport is None:
-                    connector.disconnect()
+                    opening.give_up()
                 else:  # up, but not greeted: its greeting must not count any more
                     made.close()
 
--- a/sedgepitch/load/caller.py
+++ b/sedgepitch/load/caller.py
@@ -18,7 +18,7 @@
 from sedgepitch.fronts.mongo import codec
 from sedgepitch.fronts.mongo.codec import WireError
 from sedgepitch.fronts.mongo.framing import FrameReceiver
-from sedgepitch.net import transport
+from sedgepitch.net.connecting import connect
 from sedgepitch.standins.recorder import Recorder
 
 now = time.monotonic
@@ -190,7 +190,7 @@
         self.opened += 1
         connection = Connection(self)
         connection.begin(ask, done)
-        transport.connect(self.reactor, *self.address, _One(connection), 5.0)
+        connect(self.reactor, *self.address, _One(connection), 5.0)
 
     def close(self) -> None:
         """Hang up what is idle."""
--- a/sedgepitch/net/accepting.py
+++ b/sedgepitch/net/accepting.py
@@ -20,6 +20,7 @@
 
 FIRST_PAUSE = 0.005  # s; short beside any client's deadline
 LONGEST_PAUSE = 0.1  # s
+LASTING = 0.5  # s of pauses in a row after which a shortage is no matter of a moment
 # Failures in a row within one turn after which the rest waits for a pause as well.
 MOST_SKIPPED = 16
 
@@ -55,13 +56,19 @@
 class AcceptRetry:
     """The pauses of one listener; all times in seconds."""
 
-    __slots__ = ("_pause", "_skipped", "failures")
+    __slots__ = ("_pause", "_paused", "_skipped", "failures")
 
     def __init__(self) -> None:
         self.failures = 0  # since the start, but for "nothing waits"
         self._pause = 0.0
+        self._paused = 0.0  # sum of the pauses in a row
         self._skipped = 0
 
+    @property
+    def lasting(self) -> bool:
+        """Whether a shortage has gone on for so long that room has to be made for those who wait."""
+        return self._paused >= LASTING
+
     def failed(self, error: int) -> AcceptFailure:
         """Judge a failure by its errno."""
         if error in NOTHING_WAITS:
@@ -76,10 +83,11 @@
 
     def succeeded(self) -> None:
         """A connection was accepted: a later shortage begins with the first pause."""
-        self._pause = 0.0
+        self._pause = self._paused = 0.0
         self._skipped = 0
 
     def next_pause(self) -> float:
         """Return for how long to leave the listener alone after a shortage."""
         self._pause = min(LONGEST_PAUSE, self._pause * 2.0 or FIRST_PAUSE)
+        self._paused += self._pause
         return self._pause
--- a/sedgepitch/net/listener.py
+++ b/sedgepitch/net/listener.py
@@ -67,7 +67,8 @@
     transport = StampedServer  # type: ignore[assignment]
     may_accept: Callable[[], bool] | None = None
     on_problem: Callable[[AcceptProblem], None] | None = None
-    on_descriptors_out: Callable[[], None] | None = None  # may free some by closing what is idle
+    # Called where descriptors are out, to free one by closing what is idle; told whether that has lasted.
+    on_descriptors_out: Callable[[bool], None] | None = None
 
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
@@ -114,7 +115,7 @@
             self._report(AcceptProblem("accept", error, 0.0))
             return True
         if error in DESCRIPTORS_OUT and self.on_descriptors_out is not None:
-            self.on_descriptors_out()
+            self.on_descriptors_out(self.retry.lasting)
         pause = self.retry.next_pause()
         self._report(AcceptProblem("accept", error, pause))
         self._pause(pause)
--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -26,11 +26,9 @@
 import socket
 import struct
 import time
-from collections.abc import Callable
 from typing import Any
 
 from twisted.internet import error, main, tcp
-from twisted.internet.protocol import ClientFactory
 
 from sedgepitch.net.stamps import Stamps
 
@@ -250,28 +248,6 @@
         super()._connectDone()
 
 
-class Opening(ClientFactory):
-    """Opens one connection: `make` gives its protocol, `failed` hears why none came about."""
-
-    noisy = False
-
-    def __init__(self, make: Callable[[], Any], failed: Callable[[str], None]) -> None:
-        self.make, self.failed = make, failed
-
-    def buildProtocol(self, addr: Any) -> Any:
-        """Build it."""
-        return self.make()
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        """No connection."""
-        self.failed(reason.getErrorMessage())
-
-
-class _Connector(tcp.Connector):
-    def _makeTransport(self) -> StampedClient:
-        return StampedClient(self.host, self.port, self.bindAddress, self, self.reactor)
-
-
 def left(opened: Any) -> bool:
     """Whether the peer of an open connection has ended it, though what it sent before lies unread.
 
@@ -302,10 +278,3 @@
     except OSError:
         return False
     return False
-
-
-def connect(reactor: Any, host: str, port: int, factory: Any, timeout: float) -> Any:
-    """Open a connection, like `reactor.connectTCP`; returns the connector."""
-    connector = _Connector(host, port, factory, timeout, None, reactor)
-    connector.connect()
-    return connector
--- a/sedgepitch/node/driver.py
+++ b/sedgepitch/node/driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import time
 from collections.abc import Callable
 from typing import Any
@@ -30,6 +31,7 @@
 ACCEPTS = 16  # connections accepted in one turn
 STOP_LOOK = 0.02  # s between looks while the driver ends
 TRACE_EVERY = 0.5  # s between them where the trace is on
+ACCEPT_LINE_EVERY = 0.2  # s between lines of failed accepts, which are counted in between
 REPORT_EVERY = 5.0  # s between lines about the driver itself
 # Of a configuration that is read again, what is taken up only by a new start.
 NEEDS_RESTART = ("name", "listen", "cores", "memory", "sockets", "settings", "connect_within", "idle_for")
@@ -92,6 +94,7 @@
         self.cannot_listen: Callable[[], None] = lambda: None  # called where the port cannot be opened
         self.trouble = ""
         self.accept_failures = 0  # failed accepts and connections that could not be set up at once
+        self.accept_failure_said = -math.inf
 
     def start(self) -> None:
         """Believe the remembered list, follow discovery, listen."""
@@ -192,6 +195,7 @@
                 return
             self.catalog.stop()
             self.members.close()
+            self._say_closes()
             self.lines.say("stopped", **self.figures())
             done()
 
@@ -211,19 +215,27 @@
         place = f"{trace.tb_frame.f_code.co_filename.rpartition('/')[2]}:{trace.tb_lineno}" if trace else "?"
         self.lines.say("engine.fault", at=where, place=place, error=f"{type(error).__name__}: {error}"[:300])
 
-    def _free_descriptor(self) -> None:
-        """The system has no descriptor for a client that waits: close what is idle, servers' side first."""
-        if not self.members.close_longest_idle():
+    def _free_descriptor(self, lasting: bool) -> None:
+        """The system has no descriptor for a client that waits: close what is idle, servers' side first.
+
+        An idle client goes only where the shortage lasts: its next request may be on its way.
+        """
+        if not self.members.close_longest_idle() and lasting:
             self.front.free_descriptor()
 
     def _accept_failed(self, problem: AcceptProblem) -> None:
         self.accept_failures += 1
+        now = self.clock.now()
+        if now - self.accept_failure_said < ACCEPT_LINE_EVERY:
+            return
+        self.accept_failure_said = now
         self.lines.say(
             "accept.failed",
             call=problem.call,
             error=problem.name,
             text=problem.text,
             again_in_s=problem.pause,
+            failures=self.accept_failures,
         )
 
     def _client_closed(self, report: CloseReport) -> None:
@@ -285,8 +297,7 @@
             )
         return " ".join(words)
 
-    def _report(self) -> None:
-        self.lines.say("state", **self.figures())
+    def _say_closes(self) -> None:
         closes = self.front.closes
         self.lines.say(
             "closes",
@@ -294,5 +305,9 @@
             with_request=closes.with_request,
             reasons=closes.summary(),
         )
+
+    def _report(self) -> None:
+        self.lines.say("state", **self.figures())
+        self._say_closes()
         self.lines.say("beliefs", members=self.beliefs())
         self.clock.call_later(TRACE_EVERY if self.lines.tracing else REPORT_EVERY, self._report)
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from sedgepitch.net.accepting import FIRST_PAUSE, LONGEST_PAUSE, MOST_SKIPPED, AcceptFailure, AcceptRetry
+from sedgepitch.net.accepting import (
+    FIRST_PAUSE,
+    LASTING,
+    LONGEST_PAUSE,
+    MOST_SKIPPED,
+    AcceptFailure,
+    AcceptRetry,
+)
 
 
 @pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, 0, 9999])
@@ -35,3 +42,13 @@
     assert pauses[:3] == [FIRST_PAUSE, 2 * FIRST_PAUSE, 4 * FIRST_PAUSE] and pauses[-1] == LONGEST_PAUSE
     retry.succeeded()
     assert retry.next_pause() == FIRST_PAUSE
+
+
+def test_a_shortage_is_lasting_after_a_time_of_pauses_and_no_more_after_a_success():
+    retry = AcceptRetry()
+    paused = 0.0
+    while not retry.lasting:
+        paused += retry.next_pause()
+    assert LASTING <= paused < LASTING + LONGEST_PAUSE + FIRST_PAUSE
+    retry.succeeded()
+    assert not retry.lasting
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -652,6 +652,7 @@
         catalog=SimpleNamespace(stop=lambda: None),
         members=SimpleNamespace(close=lambda: None),
         figures=dict,
+        _say_closes=lambda: None,
     )
     numbers, told, stopped = itertools.count(1), [], []
     for what, which in [*steps, ("stop", 0)]:
