The port is closed at shutdown only once the system shows nobody in its backlog

accept that says EAGAIN is no proof of an empty backlog where calls fail; the listener is asked by poll, as before the new accept loop.

--- a/sedgepitch/net/listener.py
+++ b/sedgepitch/net/listener.py
@@ -12,6 +12,7 @@
 
 import errno
 import os
+import select
 import socket
 from collections import deque
 from collections.abc import Callable
@@ -92,10 +93,20 @@
         Returns False where a shortage leaves something there: to be called again.
         """
         while self.connected:
-            problems = self.retry.failures
             if not self._accept_next():
-                return self.retry.failures == problems and not self._unset
-        return not self._unset
+                break
+        return not self._unset and not self._client_waits()
+
+    def _client_waits(self) -> bool:
+        """Whether a connection is in the backlog, as the system sees it."""
+        if not self.connected:
+            return False
+        asked = select.poll()
+        asked.register(self.fileno(), select.POLLIN)
+        try:
+            return bool(asked.poll(0))
+        except OSError:  # not known now: to be asked again
+            return True
 
     def _accept_next(self) -> bool:
         """Accept one connection; returns whether to go on."""
--- a/tests/test_syscall_failures.py
+++ b/tests/test_syscall_failures.py
@@ -231,7 +231,7 @@
     assert [codec.one_value(raw) for kind, raw in messages if kind == b"D"] == [value(1)[1]]
 
 
-@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS], ids=name_of)
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.EAGAIN], ids=name_of)
 def test_what_waits_in_the_backlog_is_answered_though_accept_fails_while_the_process_shuts_down(
     faulty, faults, error
 ):
