Test: a shutdown answers and ends though accept never works again

Before the mend the process still ran 30 s after SIGTERM, with EMFILE and with ENFILE: it looped over a readable listener. Now both pass.

--- a/tests/test_syscall_failures.py
+++ b/tests/test_syscall_failures.py
@@ -245,6 +245,19 @@
     assert answers == [value(number) for number in range(1, CLIENTS + 1)]
 
 
+@pytest.mark.parametrize("error", [errno.EMFILE, errno.ENFILE], ids=name_of)
+def test_a_shutdown_answers_and_ends_though_accept_never_works_again(faulty, faults, error):
+    held = faulty.client()
+    faults.arm(Rule(Call.ACCEPT, Kind.LISTENER, error, times=UNBOUNDED))
+    waiting = Client(faulty.port, greet=False)
+    faulty.signal(signal.SIGTERM)
+    faulty.wait_for("stopping")
+    assert held.ask(look(1)) == value(1)
+    held.close()
+    assert faulty.process.wait(timeout=WITHIN) == 0
+    waiting.close()
+
+
 @pytest.mark.parametrize(
     ("call", "error"),
     [
