Log the evidence behind a zone's state, and an instance's own votes when they change

Change: zone.evidence beside each zone.state_changed has the own counts, each vote with its age, the living and the local health score; zone.votes_changed has the own votes, 'unfit' for an instance that does not judge.

--- a/sedgepitch/peers/zones.py
+++ b/sedgepitch/peers/zones.py
@@ -24,6 +24,7 @@
 from sedgepitch.peers import entry_kinds
 from sedgepitch.peers.service import PeerService
 from sedgepitch.peers.zone_commands import CommandExchange
+from sedgepitch.peers.zone_evidence_log import evidence_fields, instance_votes
 from sedgepitch.peers.zone_observer import ZoneObserver
 from sedgepitch.peers.zone_status import zone_status
 from sedgepitch.routing.messages import ZoneWeights
@@ -103,6 +104,7 @@
         self._weights: dict[str, float] = {}
         self._published: _PublishedContent | None = None
         self._published_at = -DIGEST_MAX_AGE_S
+        self._said: dict[str, str] = {}
         self._stepped_at = -DIGEST_MAX_AGE_S
         self._checked_at = clock.now()
         self._unfit_until = 0.0
@@ -153,12 +155,21 @@
         if self._news or changed or self._any_not_normal() or after_pause or idle:
             self._step(now, after_pause)
         if now - self._published_at >= (PUBLISH_INTERVAL_MIN_S if changed else self._heartbeat_interval):
+            self._log_own_votes(now)
             self._published = content
             self._published_at = now
             self._peers.publish(entry_kinds.ZONE_DIGEST, digests.encode(self.own))
         if self.commands.commands.by_zone and now - self.commands.published_at >= COMMANDS_INTERVAL_S:
             self.commands.publish()
 
+    def _log_own_votes(self, now: float) -> None:
+        """Log what this instance says of the zones, when it says something else than before."""
+        said = instance_votes(self.own)
+        if said != self._said:
+            self._said = said
+            score = self._peers.node.health.score if self._peers.node is not None else 0
+            self._log("zone.votes_changed", votes=said, local_health=score, at=round(now, LOG_TIME_DIGITS))
+
     def _any_not_normal(self) -> bool:
         return any(zone.state is not ZoneState.NORMAL for zone in self.controller.zones.values())
 
@@ -191,7 +202,7 @@
         view = ZoneView(now, self.own, received, sizes, leave_commands, after_pause, 1 + len(alive))
         weights = {zone: round(share, WEIGHT_DIGITS) for zone, share in self.controller.step(view).items()}
         for transition in self.controller.take_transitions():
-            self._on_transition(now, transition)
+            self._on_transition(view, node, transition)
         if weights != self._weights:
             self._weights = weights
             self._engine.feed(ZoneWeights(tuple(sorted(weights.items()))))
@@ -212,16 +223,19 @@
             del self._read[name]
         return received
 
-    def _on_transition(self, now: float, transition: ZoneTransition) -> None:
+    def _on_transition(self, view: ZoneView, node: GossipNode, transition: ZoneTransition) -> None:
         if transition.state is ZoneState.RETURNING:
             self.observer.observations.forget_zone(transition.zone)
         zone = self.controller.zones.get(transition.zone)
-        if zone is not None:
-            self._log(
-                "zone.state_changed",
-                zone=zone.name,
-                state=transition.state.name.lower(),
-                share=round(zone.share, LOG_SHARE_DIGITS),
-                reason=zone.reason,
-                at=round(now, LOG_TIME_DIGITS),
-            )
+        if zone is None:
+            return
+        at = round(view.now, LOG_TIME_DIGITS)
+        self._log(
+            "zone.state_changed",
+            zone=zone.name,
+            state=transition.state.name.lower(),
+            share=round(zone.share, LOG_SHARE_DIGITS),
+            reason=zone.reason,
+            at=at,
+        )
+        self._log("zone.evidence", at=at, **evidence_fields(view, node, zone.name))
