A proxy accepts again after overload that outlasted its last connection

Cause: connections are not accepted while the process is overloaded, and only a recorded wait ends overload. With the last connection closed nothing is read, nothing is recorded, and nothing is accepted: for ever.

Change: overload holds for 0.5 s after the last wait; late spans before such an idle time do not count with later ones. The zones' fitness asks the same question.

Why it works: a process with traffic records waits in every turn, so its overload is as before; one without any has none.

--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -156,7 +156,7 @@
             opened = self._open_shared_port(host, port, factory)
         else:
             opened = listener.listen(self.reactor, port, factory, host, CLIENT_BACKLOG)
-        opened.may_accept = lambda: not self.engine.process_limit.overloaded
+        opened.may_accept = lambda: not self.engine.process_limit.overloaded_at(self.clock.now())
         opened.on_problem = self._accept_failed
         self.ports.append(opened)
         return opened
--- a/sedgepitch/decisions/admission/process_concurrency_limit.py
+++ b/sedgepitch/decisions/admission/process_concurrency_limit.py
@@ -10,7 +10,8 @@
 Under more load even reading requests is too much. While spans in a row are that late (`overloaded`), a
 request that itself waited too long may be rejected unread: first of the most active tenant, and of all
 others when they waited several times as long. It never ran, so the rejection is truthful, and its time is
-mostly gone. No new connections are accepted meanwhile.
+mostly gone. No new connections are accepted meanwhile, so overload ends by itself once nothing has been
+read for OVERLOAD_MAX_AGE_S: where the last connection has closed, nothing else would ever show that it is over.
 """
 
 from __future__ import annotations
@@ -26,6 +27,7 @@
 MIN_USE_SHARE = 0.25  # of the limit that has to be in use for it to grow
 OVERLOADED_WAIT_RATIO = 2.5  # mean wait of a span over the tolerable wait
 OVERLOADED_SPANS = 2  # in a row
+OVERLOAD_MAX_AGE_S = 0.5  # since the last wait, after which it says nothing of now
 OTHER_TENANTS_WAIT_RATIO = 4.0  # wait over the tolerable wait, for tenants that are not the most active
 NEVER = float("inf")
 
@@ -35,6 +37,7 @@
 
     __slots__ = (
         "_peak_in_process",
+        "_recorded_at",
         "_samples",
         "_span_started_at",
         "_total",
@@ -53,12 +56,16 @@
         self.decreases = 0
         self.late_spans = 0  # in a row
         self._span_started_at = -NEVER
+        self._recorded_at = -NEVER
         self._total = 0.0  # s waited in this span
         self._samples = 0
         self._peak_in_process = 0  # requests, in this span
 
     def record(self, seconds: float, in_process: int, now: float) -> None:
         """Record one wait that ended now, and how many requests the process carries."""
+        if now - seconds - self._recorded_at > OVERLOAD_MAX_AGE_S:
+            self._forget_late_spans()
+        self._recorded_at = now
         self._total += seconds
         self._samples += 1
         if in_process > self._peak_in_process:
@@ -72,9 +79,13 @@
 
     @property
     def overloaded(self) -> bool:
-        """Whether spans in a row are so late that reading is too much, and accepting connections too."""
+        """Whether the last spans were so late that reading is too much, as of the last wait."""
         return self.late_spans >= OVERLOADED_SPANS
 
+    def overloaded_at(self, now: float) -> bool:
+        """Whether it is overloaded now: accepting connections is too much, and judging others."""
+        return self.overloaded and now - self._recorded_at <= OVERLOAD_MAX_AGE_S
+
     def rejects_unread(self, waited: float, most_active: bool) -> bool:
         """Whether a request that has waited so many seconds may be rejected without being read.
 
@@ -83,6 +94,13 @@
         ratio = 1.0 if most_active else OTHER_TENANTS_WAIT_RATIO
         return self.overloaded and waited > self.tolerable_wait * ratio
 
+    def _forget_late_spans(self) -> None:
+        """Begin anew after an idle time; the limit stays."""
+        self.late_spans = 0
+        self._total = 0.0
+        self._samples = 0
+        self._peak_in_process = 0
+
     def _move_limit(self, mean_wait: float) -> None:
         late = mean_wait > OVERLOADED_WAIT_RATIO * self.tolerable_wait
         self.late_spans = self.late_spans + 1 if late else 0
--- a/sedgepitch/peers/zones.py
+++ b/sedgepitch/peers/zones.py
@@ -184,7 +184,8 @@
         """Whether this instance is well enough itself to judge others."""
         node = self._peers.node
         unhealthy = node is not None and node.health.score >= node.settings.max_local_health // 2
-        return now >= self._unfit_until and not unhealthy and not self._engine.process_limit.overloaded
+        overloaded = self._engine.process_limit.overloaded_at(now)
+        return now >= self._unfit_until and not unhealthy and not overloaded
 
     # Judging
 
--- a/tests/test_capacity_estimate.py
+++ b/tests/test_capacity_estimate.py
@@ -178,6 +178,19 @@
     assert not limit.rejects_unread(0.5, True)
 
 
+# Guards against: overload without an end where nothing is read any more, since nothing may be accepted.
+def test_overload_ends_when_nothing_has_been_read_for_a_while():
+    limit = ProcessConcurrencyLimit(0.02)
+    now = waits(limit, 1.0, 0.2, 10, 0.0)
+    assert limit.overloaded_at(now)
+    assert limit.overloaded_at(now + 0.4)
+    assert not limit.overloaded_at(now + 0.6)
+    limit.record(0.2, 1, now + 5.0)
+    assert not limit.overloaded_at(now + 5.0), "one late read after an idle time is no row"
+    now = waits(limit, 3.0, 0.7, 10, now + 5.0)
+    assert limit.overloaded_at(now), "reads that are late by more than that time leave no idle time between"
+
+
 def test_unread_requests_of_the_most_active_tenant_are_rejected_first():
     from sedgepitch.decisions.admission.controller import AdmissionController
     from sedgepitch.decisions.admission.settings import AdmissionSettings
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -385,3 +385,23 @@
         assert len(done) > 40
     keys = [tuple(r["key"]) for r in records(rough, "commit") if r["key"]]
     assert len(keys) == len(set(keys))
+
+
+# Guards against: a proxy whose last connections left while it was overloaded never accepted a client again.
+def test_clients_are_accepted_after_suspensions_that_outlasted_all_connections(rough):
+    rough.driver("one")
+    process = rough.drivers["one"].process
+    connections = [connect(rough) for _ in range(20)]
+    assert all(ask(held, ping=1)["ok"] == 1 for held in connections)
+    for number in range(2, 5):  # what is read is late in several spans in a row, and never on time between
+        process.send_signal(signal.SIGSTOP)
+        for held in connections:
+            held.sendall(command(number, find="log", comment="map-read", maxTimeMS=5000))
+        time.sleep(0.6)
+        process.send_signal(signal.SIGCONT)
+        assert all(receive(held) for held in connections)
+    for held in connections:
+        held.close()
+    with connect(rough) as held:
+        held.settimeout(10.0)
+        assert ask(held, ping=1)["ok"] == 1
