--- a/sedgepitch/decisions/admission/process_concurrency_limit.py
+++ b/sedgepitch/decisions/admission/process_concurrency_limit.py
@@ -11,7 +11,7 @@
 request that itself waited too long may be rejected unread: first of the most active tenant, and of all
 others when they waited several times as long. It never ran, so the rejection is truthful, and its time is
 mostly gone. No new connections are accepted meanwhile, so overload ends by itself once nothing has been
-read for OVERLOAD_MAX_AGE_S: where the last connection has closed, nothing else would ever show that it is over.
+read for OVERLOAD_MAX_AGE_S: after the last connection has closed, nothing else would show its end.
 """
 
 from __future__ import annotations
--- a/sedgepitch/decisions/gossip/failure_detection.py
+++ b/sedgepitch/decisions/gossip/failure_detection.py
@@ -5,8 +5,8 @@
 missing, this node is more likely the one that hears nothing, and its local health score grows (Lifeguard).
 
 Departure from Lifeguard: while this node hears from others, the missing nack of a member that is silent
-altogether does not count. Where many members fail at once, those that are asked are mostly dead themselves, and
-the survivors would take the silence for their own deafness.
+altogether does not count. Where many members fail at once, those that are asked are mostly dead themselves,
+and the survivors would take the silence for their own deafness.
 """
 
 from __future__ import annotations
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -189,7 +189,7 @@
     return MembershipUpdate(name, "127.0.0.1", 2, incarnation, int(state))
 
 
-# Guards against: survivors whose local health score forbids them to judge for as long as the dead are unknown.
+# Guards against: survivors whose local health score forbids them to judge while the dead are unknown.
 @pytest.mark.parametrize("loss", [0.0, 0.1])
 def test_survivors_of_many_failures_at_once_do_not_count_them_against_their_own_health(loss):
     unhealthy_s, seeds = 0.0, range(10)
