A lost zone is not called healthy while its old answers leave the windows

Callers saw: on 'killed' a survivor that had voted a zone lost voted it healthy 0.1 to 1 s later, with nothing answered in between; of three survivors that is enough to hold up the verdict.

Cause: the usual gap between answers was taken from windows in which the zone had fallen silent; a share of failures did not speak against health below eight attempts; an endpoint under a half-open trial counted as reachable.

Change: after two timeouts with no answer since, 0.5 s of silence is enough; a fifth of failures is never healthy; an endpoint under trial is unreachable until it answers, but for partly used zones.

--- a/sedgepitch/decisions/zones/votes.py
+++ b/sedgepitch/decisions/zones/votes.py
@@ -95,13 +95,21 @@
         return Vote.FAILING
     if row.latency_permille >= PERMILLE * SLOW_LATENCY_RATIO_MIN and row.slow >= OUTAGE_SHARE * row.endpoints:
         return Vote.SLOW
-    return Vote.NONE if without_answers else Vote.HEALTHY
+    many_failures = failures(row) >= FAILURE_SHARE * row.attempts
+    return Vote.NONE if without_answers or many_failures else Vote.HEALTHY
 
 
 def _unanswered_for_long(row: ZoneObservation) -> bool:
-    """Whether the last answer is too long ago, for the pace at which they came, to say something of now."""
-    usual_gaps_ms = 1000.0 * SILENCE_GAPS * 1.5 * WINDOW_S / max(1, row.successes)
-    return row.successes == 0 or row.since_success_ms > max(SILENCE_MIN_MS, usual_gaps_ms)
+    """Whether the last answer is too long ago to say something of now.
+
+    That is for the pace at which answers came; but windows in which a zone falls silent make that pace look
+    slower, so after attempts that timed out, with none answered since, the shortest silence is enough.
+    """
+    if row.successes == 0:
+        return True
+    timed_out = row.timeouts >= UNANSWERED_MIN and row.unanswered >= UNANSWERED_MIN
+    usual_gaps_ms = 0.0 if timed_out else 1000.0 * SILENCE_GAPS * 1.5 * WINDOW_S / row.successes
+    return row.since_success_ms > max(SILENCE_MIN_MS, usual_gaps_ms)
 
 
 def _is_failing(row: ZoneObservation) -> bool:
--- a/sedgepitch/peers/zone_observer.py
+++ b/sedgepitch/peers/zone_observer.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Set
 
 from sedgepitch.core.engine import Engine
 from sedgepitch.core.types import Clock
@@ -64,7 +64,8 @@
         """Return one row for each zone that has endpoints in the list."""
         up = Counter(zone[:MAX_ZONE_NAME_LENGTH] for _, zone, _ in self._endpoints_up())
         endpoints_up = {zone: up[zone] for zone in self.zone_sizes()}
-        return self.observations.rows(now, self._unreachable(), endpoints_up, partly_used)
+        in_part = set(partly_used)
+        return self.observations.rows(now, self._unreachable(in_part), endpoints_up, in_part)
 
     def zone_sizes(self) -> dict[str, float]:
         """Return the capacity of each zone's endpoints that are up, for as many zones as a digest holds."""
@@ -80,13 +81,18 @@
             if endpoint.zone and endpoint.state is EndpointState.UP:
                 yield endpoint.id, endpoint.zone, endpoint.size
 
-    def _unreachable(self) -> dict[int, str]:
-        """Return the zones of endpoints that do not answer and are not tried again just now."""
+    def _unreachable(self, partly_used: Set[str]) -> dict[int, str]:
+        """Return the zones of endpoints that do not answer.
+
+        One that is tried just now has not answered yet. In a partly used zone it has the benefit of the
+        doubt: else a return would be judged by its first trials before they can be answered.
+        """
         endpoints = self._engine.router.endpoints
         return {
             number: zone
             for number, zone, _ in self._endpoints_up()
-            if endpoints[number].ejection_reason in UNREACHABLE and endpoints[number].trial is None
+            if endpoints[number].ejection_reason in UNREACHABLE
+            and (endpoints[number].trial is None or zone[:MAX_ZONE_NAME_LENGTH] not in partly_used)
         }
 
     def _zone_of(self, endpoint: int) -> str | None:
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -106,6 +106,9 @@
     return made
 
 
+replaced = msgspec.structs.replace
+
+
 def lost_to(*who: str):
     return lambda own, zone: "lost" if zone == "c" and own in who else "well"
 
@@ -360,6 +363,27 @@
     assert all(r.endpoints == 0 for r in later.values())
 
 
+def vote_on(zone_c: ZoneObservation) -> Vote:
+    """What an instance says of zone c, the others being well."""
+    return votes(ZoneDigest("a", 10.0, True, (row("a"), row("b"), zone_c)))[zone_c.zone]
+
+
+# Guards against: a zone that has fallen silent looks healthy again as its old answers leave the windows.
+@pytest.mark.parametrize("successes", [9, 3, 1])
+def test_a_zone_that_times_out_stays_lost_while_its_old_answers_age(successes):
+    silent = ZoneObservation("c", successes + 2, successes, 2, 0, 47, 3, 2, 1, 0, 1118, 3, endpoints_up=3)
+    assert vote_on(silent) is Vote.LOST
+    assert vote_on(replaced(silent, unanswered=0, since_success_ms=10)) is not Vote.LOST, "it answers again"
+    assert vote_on(replaced(silent, unreachable=1)) is not Vote.LOST, "one endpoint is no zone"
+
+
+# Guards against: an instance with few requests outvotes those that see a zone fail.
+def test_a_zone_that_mostly_fails_is_never_called_healthy_however_few_the_attempts():
+    failing = ZoneObservation("c", 3, 1, 2, 0, 47, 3, 1, 2, 0, 400, 1, endpoints_up=3)
+    assert vote_on(failing) is Vote.NONE
+    assert vote_on(replaced(failing, attempts=1, timeouts=0, unreachable=0, failing=0)) is Vote.HEALTHY
+
+
 def test_a_digest_fits_a_state_entry_whatever_the_names():
     names = [f"{n:02}" + "x" * 22 for n in range(10)]
     big = ZoneDigest(
