A test whose process fails to start leaves none behind

Cause, by reading and by the test: Platform.start() waited for the port and raised where it did not come; the fixtures closed the platform after their yield only, and several tests called start() before their try block. The same in Stage, whose constructor could fail after it had started the fleet, in Stage.stop after a driver that failed to stop, and in PeerCluster.

Change: who starts a process ends it where the start fails; fixtures close in a finally.

Result: test_a_platform_whose_process_never_listens_leaves_none_behind failed before (the process was still running) and passes.

--- a/sedgepitch/scenarios/peer_processes.py
+++ b/sedgepitch/scenarios/peer_processes.py
@@ -97,8 +97,12 @@
         self._arguments = arguments
         self._key = folder / "key"
         new_key_file(self._key)
-        for number in range(count):
-            self.start(f"d{number}")
+        try:
+            for number in range(count):
+                self.start(f"d{number}")
+        except BaseException:  # nobody holds this cluster yet who could end it
+            self.kill()
+            raise
 
     def start(self, name: str, *arguments: str, key: Path | None = None) -> PeerProcess:
         """Start one, or one anew."""
--- a/sedgepitch/scenarios/processes.py
+++ b/sedgepitch/scenarios/processes.py
@@ -144,8 +144,12 @@
         self.fleet = Process(
             ["emulator", "--config", self._write("fleet", self.settings)], directory / "fleet.log"
         )
-        self.control_address = self.fleet.ready()
-        self.control = Control(self.control_address)
+        try:
+            self.control_address = self.fleet.ready()
+            self.control = Control(self.control_address)
+        except BaseException:  # nobody holds this stage yet who could stop it
+            self.fleet.stop()
+            raise
 
     def _write(self, name: str, settings: dict[str, Any]) -> str:
         path = self.directory / f"{name.replace('/', '_')}.yaml"
@@ -184,10 +188,12 @@
 
     def stop(self) -> None:
         """End everything."""
-        for process in self.drivers.values():
-            process.stop()
-        self.control.close()
-        self.fleet.stop()
+        try:
+            for process in self.drivers.values():
+                process.stop()
+        finally:
+            self.control.close()
+            self.fleet.stop()
 
 
 @contextlib.contextmanager
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -49,8 +49,10 @@
 def platform(tmp_path):
     """One proxy process on an emulated platform, its endpoint list known."""
     held = Platform(tmp_path)
-    held.configure()
-    held.start()
-    held.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
-    yield held
-    held.close()
+    try:  # a start that fails leaves a process behind as well
+        held.configure()
+        held.start()
+        held.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
+        yield held
+    finally:
+        held.close()
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -234,7 +234,11 @@
             self.process = subprocess.Popen(
                 [sys.executable, "-m", self.program], env=environment, stderr=log, stdout=log, cwd=ROOT
             )
-        self.port = int(self.wait_for(r"listening address=127\.0\.0\.1:(\d+)")[1])
+        try:
+            self.port = int(self.wait_for(r"listening address=127\.0\.0\.1:(\d+)")[1])
+        except AssertionError:  # most callers have no way to close what has not started
+            self.end_process()
+            raise
 
     def wait_for(self, pattern: str) -> re.Match[str]:
         """Wait until a line of the log matches."""
@@ -256,11 +260,15 @@
         assert self.process is not None
         self.process.send_signal(number)
 
-    def close(self) -> None:
-        """Kill the process and close everything."""
+    def end_process(self) -> None:
+        """Kill the process if it runs."""
         if self.process is not None and self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
             self.process.wait()
+
+    def close(self) -> None:
+        """Kill the process and close everything."""
+        self.end_process()
         for part in (*self.endpoints, self.agent):
             part.close()
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -18,12 +18,28 @@
     TIMEOUT_S,
     Client,
     DiscoveryAgent,
+    Platform,
     read_statement,
     value_of,
     write_statement,
 )
 
 
+# Guards against: a process that runs on after the test whose start of it failed.
+def test_a_platform_whose_process_never_listens_leaves_none_behind(tmp_path, monkeypatch):
+    platform = Platform(tmp_path)
+    platform.configure()
+
+    def fail(self, pattern):
+        raise AssertionError(f"never logged {pattern!r}")
+
+    monkeypatch.setattr(Platform, "wait_for", fail)
+    with pytest.raises(AssertionError):
+        platform.start()
+    assert platform.process.poll() is not None
+    platform.close()
+
+
 def test_reads_and_writes_are_served_and_statements_forwarded_unchanged_but_for_d(platform):
     client = platform.client()
     assert client.query(b"") == ("closed", None)  # an empty query has no row
--- a/tests/test_syscall_failures.py
+++ b/tests/test_syscall_failures.py
@@ -34,11 +34,13 @@
     """One proxy process on an emulated platform whose system calls the test can fault."""
     held = Platform(tmp_path)
     held.environment = faults.environment
-    held.configure()
-    held.start()
-    held.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
-    yield held
-    held.close()
+    try:
+        held.configure()
+        held.start()
+        held.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
+        yield held
+    finally:
+        held.close()
 
 
 @pytest.fixture
--- a/tests/test_syscall_storm.py
+++ b/tests/test_syscall_storm.py
@@ -128,11 +128,11 @@
     platform.environment = faults.environment
     platform.configure()
     platform.start()
-    platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
-    dice = [random.Random(seed * 100 + number) for number in range(CLIENTS)]
-    callers = [Caller(platform, number, dice[number], arm) for number in range(CLIENTS)]
-    threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
     try:
+        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
+        dice = [random.Random(seed * 100 + number) for number in range(CLIENTS)]
+        callers = [Caller(platform, number, dice[number], arm) for number in range(CLIENTS)]
+        threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
         for thread in threads:
             thread.start()
         for thread in threads:
