A soak of the platform's program: restarts, signals, crowds and faults on many seeds

Change: 'sedgepitch soak' (scenarios/soak) draws a script from each seed: restarts with SIGKILL at the longest deadline plus 0.7 s, SIGHUP in series with half-written and missing files, SIGSTOP and SIGTERM twice around them, crowds over the descriptor limit, drains, removals, hangs, resets, crashes, primary changes, discovery silent, refused, slow and in bursts, busy processes on a quarter of the seeds. Emulated PostgreSQL servers and a discovery agent (emulator/) record what they see; the audit that exists judges, and beside it exit codes, tracebacks, reads whose connection was closed, attempts after a client left, watches after reloads, levels of memory and descriptors. tests/test_soak.py plays three seeds of 20 s and three faulty programs, side by side.

Not covered: slow start (no server is cold: rule 4 is checked on nothing), connections idle-closed by servers, signals before the first line of the program, and it shares no code with load_generator.py, which speaks MongoDB.

--- a/sedgepitch/cli/main.py
+++ b/sedgepitch/cli/main.py
@@ -12,6 +12,7 @@
 from sedgepitch.cli.peers import peers
 from sedgepitch.cli.scenarios import fault_scenario, fleet_scenario
 from sedgepitch.cli.serve import serve
+from sedgepitch.cli.soak import soak
 from sedgepitch.cli.zones import zone
 
 FORMER_NAMES = {
@@ -40,7 +41,7 @@
     )
 
 
-for _command in (serve, emulator, fault_scenario, fleet_scenario, admission, peers, zone, config):
+for _command in (serve, emulator, fault_scenario, fleet_scenario, soak, admission, peers, zone, config):
     main.add_command(_command)
 for _former_name, _command in FORMER_NAMES.items():
     _add_alias(_former_name, _command)
--- /dev/null
+++ b/sedgepitch/emulator/discovery_agent.py
@@ -0,0 +1,127 @@
+"""An emulated discovery agent on an asyncio loop: complete lists, watches, and the ways in which it fails."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import Callable
+from enum import StrEnum
+from typing import Any
+
+HEARTBEAT_INTERVAL_S = 2.0
+SLOW_BYTE_INTERVAL_S = 0.002
+NO_CHUNK = b""
+RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\n"
+WATCH_HEAD = RESPONSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+ListVersion = dict[str, Any]
+
+
+class AgentMode(StrEnum):
+    """How the agent behaves."""
+
+    NORMAL = "normal"
+    SILENT = "silent"  # connections come about, and nothing is said
+    REFUSED = "refused"
+    SLOW = "slow"  # byte by byte
+
+
+def _chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class DiscoveryAgent:
+    """One agent. `complete_list` returns the present list as discovery sends it."""
+
+    def __init__(self, complete_list: Callable[[], ListVersion]) -> None:
+        """Prepare an agent that does not listen yet."""
+        self.port = 0
+        self.mode = AgentMode.NORMAL
+        self._complete_list = complete_list
+        self._server: asyncio.Server | None = None
+        self._watches: set[asyncio.StreamWriter] = set()
+        self._heartbeats: asyncio.Task[None] | None = None
+
+    @property
+    def watch_count(self) -> int:
+        """Return how many watches are open."""
+        return len(self._watches)
+
+    async def start(self) -> None:
+        """Listen, at the same port as before."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self.port)
+        self.port = self._server.sockets[0].getsockname()[1]
+        if self._heartbeats is None:
+            self._heartbeats = asyncio.create_task(self._send_heartbeats())
+
+    async def set_mode(self, mode: AgentMode) -> None:
+        """Change how the agent behaves; the end of an outage sends the complete list to open watches."""
+        before, self.mode = self.mode, mode
+        if mode is AgentMode.REFUSED:
+            self.close_port()
+        elif before is AgentMode.REFUSED:
+            await self.start()
+        if mode is AgentMode.NORMAL and before is not AgentMode.NORMAL:
+            self.send(self._complete_list())
+
+    def close_port(self) -> None:
+        """Refuse connections, and reset those that are open."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for writer in list(self._watches):
+            writer.transport.abort()
+
+    def stop(self) -> None:
+        """End for good."""
+        self.close_port()
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
+
+    def send(self, version: ListVersion) -> None:
+        """Send a version to all watches."""
+        self._send_line(json.dumps(version).encode() + b"\n")
+
+    def _send_line(self, line: bytes) -> None:
+        if self.mode is not AgentMode.NORMAL:
+            return
+        for writer in list(self._watches):
+            writer.write(_chunk(line))
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+            self._send_line(b"\n")
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            target = (await reader.readline()).decode(errors="replace")
+            while (await reader.readline()).strip():
+                pass
+            body = json.dumps(self._complete_list()).encode() + b"\n"
+            if "stream=1" in target:
+                await self._watch(reader, writer, body)
+            else:
+                head = RESPONSE_HEAD + b"Content-Length: %d\r\n\r\n" % len(body)
+                await self._write(writer, head + body)
+        writer.close()
+
+    async def _watch(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, body: bytes) -> None:
+        await self._write(writer, WATCH_HEAD + _chunk(body))
+        self._watches.add(writer)
+        try:
+            await reader.read()
+        finally:
+            self._watches.discard(writer)
+
+    async def _write(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        if self.mode is AgentMode.SILENT:
+            return
+        if self.mode is not AgentMode.SLOW:
+            writer.write(data)
+            return
+        for position in range(len(data)):
+            writer.write(data[position : position + 1])
+            await writer.drain()
+            await asyncio.sleep(SLOW_BYTE_INTERVAL_S)
--- /dev/null
+++ b/sedgepitch/scenarios/soak/emulated_platform.py
@@ -0,0 +1,164 @@
+"""The platform around the proxy in a soak: servers, two discovery agents with one list, and their faults."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from sedgepitch.emulator.discovery_agent import AgentMode, DiscoveryAgent, ListVersion
+from sedgepitch.emulator.postgresql_server import GROUP, PROXY, PostgresServer, ReplicatedLog
+from sedgepitch.scenarios.soak.script import SERVERS, Action, Step
+
+LIST_BURST_VERSIONS = 20
+NOTIFIED_WITHIN_S = 6.0  # of a change, or of the end of an outage, a proxy counts as notified
+SETTLED_AFTER_S = 6.0  # without outage or new configuration: a change counts as notified at once
+CLOCK_STEP_S = 1e-6  # keeps two records in order
+AGENT_MODES = {
+    Action.DISCOVERY_SILENT: AgentMode.SILENT,
+    Action.DISCOVERY_REFUSED: AgentMode.REFUSED,
+    Action.DISCOVERY_SLOW: AgentMode.SLOW,
+}
+
+Record = Callable[..., None]
+
+
+class EmulatedPlatform:
+    """Servers and discovery of one run."""
+
+    def __init__(self, record: Record, rng: random.Random) -> None:
+        """Prepare them; nothing listens yet."""
+        log = ReplicatedLog()
+        self.servers = [PostgresServer(n, log, record, rng) for n in range(1, SERVERS + 1)]
+        self.agents = [DiscoveryAgent(self.complete_list) for _ in range(2)]
+        self.agent_index = 0  # the one that the configuration names
+        self.revision = 1
+        self._phases = {server.name: "up" for server in self.servers}
+        self._notified_at = dict.fromkeys(self._phases, 0.0)
+        self._record = record
+        self._unsettled_until = 0.0
+
+    async def start(self) -> None:
+        """Listen everywhere."""
+        for server in self.servers:
+            await server.start()
+        for agent in self.agents:
+            await agent.start()
+        self._record("role", g=GROUP, m=1)
+
+    def stop(self) -> None:
+        """End everything."""
+        for agent in self.agents:
+            agent.stop()
+        for server in self.servers:
+            server.crash()
+
+    # The list
+
+    def _entry(self, server: PostgresServer) -> dict[str, Any]:
+        return {
+            "id": server.name,
+            "host_port": f"127.0.0.1:{server.port}",
+            "locality": "a",
+            "cell": GROUP,
+            "phase": self._phases[server.name],
+            "size": 1.0,
+            "up_since_ms": server.started_at_ms,
+            "access": "writer" if server.is_primary else "reader",
+        }
+
+    def complete_list(self) -> ListVersion:
+        """Return the present list."""
+        members = [self._entry(s) for s in self.servers if self._phases[s.name] != "removed"]
+        return {"revision": self.revision, "complete": True, "members": members}
+
+    def _publish(self, server: PostgresServer) -> None:
+        """Publish one server's entry; records when the proxy counts as notified of it."""
+        self.revision += 1
+        change = {"revision": self.revision, "complete": False, "members": [self._entry(server)]}
+        for agent in self.agents:
+            agent.send(change)
+        now = time.monotonic()
+        settled = now >= self._unsettled_until
+        notified_at = now if settled else self._unsettled_until + NOTIFIED_WITHIN_S
+        if self._phases[server.name] == "up":  # lifts an earlier change that the proxy may not know yet
+            notified_at = max(now, self._notified_at[server.name] + CLOCK_STEP_S)
+        self._notified_at[server.name] = notified_at
+        self._record("told", t=notified_at, d=PROXY, m=server.number, state=self._phases[server.name])
+
+    def unsettle(self, duration: float = 0.0) -> None:
+        """Note an outage, a restart or a new configuration: changes count as notified later for a while."""
+        until = time.monotonic() + duration + SETTLED_AFTER_S
+        self._unsettled_until = max(self._unsettled_until, until)
+
+    def move_discovery(self) -> None:
+        """Have the configuration name the other agent."""
+        self.agent_index = 1 - self.agent_index
+        self.unsettle()
+
+    # Faults
+
+    async def inject(self, step: Step) -> None:
+        """Carry out one fault of a server or of discovery, to its end."""
+        server = self.servers[step.server - 1]
+        handlers: dict[Action, Callable[[], Coroutine[Any, Any, None]]] = {
+            Action.DRAIN: lambda: self._drain(server, "draining", step.duration),
+            Action.REMOVE: lambda: self._drain(server, "removed", step.duration),
+            Action.HANG: lambda: self._hang(server, step.duration),
+            Action.RESET: lambda: self._reset(server),
+            Action.CRASH: lambda: self._crash(server, step.duration),
+            Action.PRIMARY_CHANGE: lambda: self._change_primary(server),
+            Action.LIST_BURST: self._burst,
+        }
+        if step.action in AGENT_MODES:
+            await self._discovery_outage(AGENT_MODES[step.action], step.duration)
+        else:
+            await handlers[step.action]()
+
+    async def _drain(self, server: PostgresServer, phase: str, duration: float) -> None:
+        if server.is_primary or self._phases[server.name] != "up":
+            return
+        self._phases[server.name] = phase
+        self._publish(server)
+        await asyncio.sleep(duration)
+        self._phases[server.name] = "up"
+        self._publish(server)
+
+    async def _hang(self, server: PostgresServer, duration: float) -> None:
+        server.hang(duration)
+
+    async def _reset(self, server: PostgresServer) -> None:
+        server.reset_connections()
+
+    async def _crash(self, server: PostgresServer, duration: float) -> None:
+        if server.is_primary:
+            return
+        server.crash()
+        await asyncio.sleep(duration)
+        await server.restart()
+        self._publish(server)
+
+    async def _change_primary(self, server: PostgresServer) -> None:
+        if self._phases[server.name] != "up":
+            return
+        old = next(s for s in self.servers if s.is_primary)
+        old.is_primary = False
+        server.is_primary = True
+        self._record("role", g=GROUP, m=server.number)
+        self._publish(old)
+        self._publish(server)
+
+    async def _burst(self) -> None:
+        for _ in range(LIST_BURST_VERSIONS):
+            for server in self.servers:
+                self._publish(server)
+
+    async def _discovery_outage(self, mode: AgentMode, duration: float) -> None:
+        self.unsettle(duration)
+        for agent in self.agents:
+            await agent.set_mode(mode)
+        await asyncio.sleep(duration)
+        for agent in self.agents:
+            await agent.set_mode(AgentMode.NORMAL)
--- /dev/null
+++ b/sedgepitch/scenarios/soak/proxy_processes.py
@@ -0,0 +1,230 @@
+"""The proxy's processes in a soak: configuration file, starts, signals, the kill at the earliest moment."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import socket
+import subprocess
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from sedgepitch.scenarios.errors import ScenarioError
+from sedgepitch.scenarios.soak.script import FileState, Reload, RestartPlan
+
+READY_TIMEOUT_S = 30.0
+POLL_INTERVAL_S = 0.005
+KILL_MARGIN_S = 0.7  # past the longest deadline, when the platform kills at the earliest
+MAX_DEADLINE_S = 3.0  # a longer deadline counts as this
+LEVEL_AFTER_S = 2.5  # past ready, when memory and descriptors are looked at
+LIMIT_SOCKETS = 256
+LIMIT_MEMORY_MB = 192
+FILE_REPAIRED_AFTER_S = 0.08  # a half-written or missing file is complete again
+_LAG = re.compile(r"max_lag_ms=([0-9.]+)")
+
+
+def free_port() -> int:
+    """Return a port that nobody listens at."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+@dataclass(slots=True)
+class ResourceLevel:
+    """What one process held some seconds after it was ready."""
+
+    descriptors: int
+    memory_mb: float
+
+
+@dataclass(slots=True)
+class ProxyProcess:
+    """One process of the program."""
+
+    number: int
+    process: subprocess.Popen[bytes]
+    log: Path
+    started_at: float
+    ready_at: float = 0.0
+    told_to_end_at: float = 0.0
+    killed: bool = False
+    level: ResourceLevel | None = None
+
+    @property
+    def runs(self) -> bool:
+        """Whether it has not ended."""
+        return self.process.poll() is None
+
+    def signal(self, number: int) -> None:
+        """Send it a signal, if it has not ended."""
+        if self.runs:
+            self.process.send_signal(number)
+
+    def text(self) -> str:
+        """Return its log so far."""
+        return self.log.read_text(encoding="utf-8", errors="replace")
+
+    def longest_lag(self) -> float:
+        """Return the longest event loop lag that it logged, in seconds."""
+        return max((float(found) for found in _LAG.findall(self.text())), default=0.0) / 1000.0
+
+    def measure(self) -> None:
+        """Note how many descriptors and how much memory it holds."""
+        try:
+            descriptors = len(os.listdir(f"/proc/{self.process.pid}/fd"))
+            status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        except OSError:
+            return
+        resident = re.search(r"VmRSS:\s+(\d+) kB", status)
+        if resident is not None:
+            self.level = ResourceLevel(descriptors, int(resident[1]) / 1024.0)
+
+
+@dataclass(slots=True)
+class ProxyProcesses:
+    """All processes of one run; the last one is the present one. `command` starts the program."""
+
+    directory: Path
+    command: list[str]
+    environment: dict[str, str]
+    configuration: Callable[[], dict[str, Any]]
+    longest_deadline: float
+    processes: list[ProxyProcess] = field(default_factory=list)
+    findings: list[str] = field(default_factory=list)
+    file_repairs: set[asyncio.Task[None]] = field(default_factory=set)
+
+    @property
+    def present(self) -> ProxyProcess:
+        """Return the process that was started last."""
+        return self.processes[-1]
+
+    @property
+    def path(self) -> Path:
+        """Return the configuration file's path."""
+        return self.directory / "config.json"
+
+    def write_configuration(self) -> None:
+        """Replace the configuration file whole."""
+        temporary = self.path.with_suffix(".new")
+        temporary.write_text(json.dumps(self.configuration()), encoding="utf-8")
+        temporary.replace(self.path)
+
+    # Starting
+
+    def start(self) -> ProxyProcess:
+        """Start the next process; raises ScenarioError where that cannot be done."""
+        self.write_configuration()
+        number = len(self.processes) + 1
+        log = self.directory / f"proxy-{number}.log"
+        environment = {**os.environ, **self.environment, "RELAY_CONFIG": str(self.path), "RELAY_NAME": "n1"}
+        try:
+            with log.open("wb") as output:
+                process = subprocess.Popen(self.command, env=environment, stdout=output, stderr=output)
+        except OSError as error:
+            raise ScenarioError(f"proxy process {number}: {self.command[0]}: {error.strerror}") from None
+        self.processes.append(ProxyProcess(number, process, log, time.monotonic()))
+        return self.present
+
+    async def wait_ready(self, proxy: ProxyProcess) -> None:
+        """Wait until a process listens; one that does not is a finding."""
+        end = proxy.started_at + READY_TIMEOUT_S
+        while "listening address=" not in proxy.text():
+            if not proxy.runs or time.monotonic() > end:
+                if not proxy.told_to_end_at:
+                    last = proxy.text().strip().splitlines()[-1:]
+                    self.findings.append(f"process {proxy.number} never listened: {''.join(last)}")
+                return
+            await asyncio.sleep(POLL_INTERVAL_S)
+        proxy.ready_at = time.monotonic()
+
+    async def watch_level(self, proxy: ProxyProcess) -> None:
+        """Measure a process some seconds after it was ready."""
+        await self.wait_ready(proxy)
+        await asyncio.sleep(LEVEL_AFTER_S)
+        proxy.measure()
+
+    # Signals
+
+    async def restart(self, plan: RestartPlan, on_started: Callable[[ProxyProcess], None]) -> None:
+        """Tell the present process to end, kill it at the platform's earliest, and start the next one."""
+        old = self.present
+        if plan.reload_before:
+            old.signal(signal.SIGHUP)
+            await asyncio.sleep(plan.reload_before)
+        if plan.suspension:
+            old.signal(signal.SIGSTOP)
+        old.signal(signal.SIGTERM)
+        old.told_to_end_at = time.monotonic()
+        kill = asyncio.create_task(self._kill_at_earliest(old))
+        if plan.suspension:
+            await asyncio.sleep(plan.suspension)
+            old.signal(signal.SIGCONT)
+        if plan.reload_after:
+            await asyncio.sleep(plan.reload_after)
+            old.signal(signal.SIGHUP)
+        if plan.repeat_after:
+            await asyncio.sleep(plan.repeat_after)
+            old.signal(signal.SIGTERM)
+        if not plan.successor_at_once:
+            await kill
+        on_started(self.start())
+        await kill
+
+    async def _kill_at_earliest(self, proxy: ProxyProcess) -> None:
+        """Wait for a process's end, until the moment at which the platform may kill it."""
+        end = proxy.told_to_end_at + min(self.longest_deadline, MAX_DEADLINE_S) + KILL_MARGIN_S
+        while proxy.runs and time.monotonic() < end:
+            await asyncio.sleep(POLL_INTERVAL_S)
+        if proxy.runs:
+            proxy.killed = True
+            proxy.process.kill()
+        proxy.process.wait()
+
+    async def reload_series(self, reloads: tuple[Reload, ...], move: Callable[[], None]) -> None:
+        """Send SIGHUP after SIGHUP; `move` changes what the configuration says before each."""
+        for reload in reloads:
+            await asyncio.sleep(reload.gap)
+            move()
+            self._write_in_state(reload.file)
+            self.present.signal(signal.SIGHUP)
+
+    def _write_in_state(self, state: FileState) -> None:
+        self.write_configuration()
+        if state is FileState.COMPLETE:
+            return
+        if state is FileState.MISSING:
+            self.path.unlink()
+        else:
+            text = self.path.read_text(encoding="utf-8")
+            self.path.write_text(text[: len(text) // 2], encoding="utf-8")
+        task = asyncio.create_task(self._repair_file())
+        self.file_repairs.add(task)
+        task.add_done_callback(self.file_repairs.discard)
+
+    async def _repair_file(self) -> None:
+        await asyncio.sleep(FILE_REPAIRED_AFTER_S)
+        self.write_configuration()
+
+    # The end
+
+    async def stop(self) -> None:
+        """End the present process as a restart does, and whatever else still runs."""
+        if self.processes and self.present.runs:
+            self.present.signal(signal.SIGTERM)
+            self.present.told_to_end_at = time.monotonic()
+            await self._kill_at_earliest(self.present)
+        self.kill_all()
+
+    def kill_all(self) -> None:
+        """Kill what still runs."""
+        for proxy in self.processes:
+            if proxy.runs:
+                proxy.process.kill()
+                proxy.process.wait()
--- /dev/null
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -0,0 +1,197 @@
+"""Plays the script of one soak: the platform's program in processes of its own, load, faults, the verdict."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+from sedgepitch.audit.records import Record
+from sedgepitch.scenarios.soak.clients import SharedState, SoakClient
+from sedgepitch.scenarios.soak.crowd import Crowd
+from sedgepitch.scenarios.soak.emulated_platform import EmulatedPlatform
+from sedgepitch.scenarios.soak.proxy_processes import (
+    LIMIT_MEMORY_MB,
+    LIMIT_SOCKETS,
+    ProxyProcess,
+    ProxyProcesses,
+    free_port,
+)
+from sedgepitch.scenarios.soak.script import Action, SoakScript, Step
+from sedgepitch.scenarios.soak.traffic import platform_settings
+from sedgepitch.scenarios.soak.verdict import SoakResult, Verdict
+
+CLIENTS = 12
+LAG_INTERVAL_S = 0.02  # between looks at how late this process is itself
+RELOADED_WITHIN_S = 6.0  # of the last SIGHUP, a watch at the configured agent
+DRAINED_AFTER_S = 1.0  # past the longest deadline, for the last answers
+PROGRAM = [sys.executable, "-m", "sedgepitch.node"]
+BUSY = "import os; parent = os.getppid()\nwhile os.getppid() == parent: pass"
+
+
+class SoakRun:
+    """One run. `command` starts the program; others than the platform's are to try the soak itself."""
+
+    def __init__(self, script: SoakScript, directory: Path, command: list[str] | None = None) -> None:
+        """Prepare a run that keeps its records and logs in a directory."""
+        rng = random.Random(f"soak run/{script.seed}")
+        self._script = script
+        self._directory = directory
+        self._records: list[Record] = []
+        self._platform = EmulatedPlatform(self._record, rng)
+        self._port = free_port()
+        self._processes = ProxyProcesses(
+            directory, command or PROGRAM, {}, self._configuration, script.longest_deadline
+        )
+        self._shared = SharedState(rng, self._record, script.longest_deadline, lambda: self._port)
+        self._crowd = Crowd(lambda: self._port, rng)
+        self._own_delay = 0.0
+        self._played: list[Step] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._task_errors: list[str] = []
+        self._moves = 0  # of discovery, by reloads
+
+    def run(self) -> SoakResult:
+        """Play the script; raises ScenarioError where it cannot be played."""
+        self._directory.mkdir(parents=True, exist_ok=True)
+        return asyncio.run(self._play())
+
+    def _record(self, kind: str, **fields: Any) -> None:
+        self._records.append({"e": kind, "t": time.monotonic(), **fields})
+
+    def _configuration(self) -> dict[str, Any]:
+        platform = self._platform
+        return {
+            "name": "n1",
+            "listen": f"127.0.0.1:{self._port}",
+            "discovery": f"127.0.0.1:{platform.agents[platform.agent_index].port}",
+            "seed": f"{self._script.seed:016x}",
+            "limits": {"cores": 1.0, "memory_mb": LIMIT_MEMORY_MB, "sockets": LIMIT_SOCKETS},
+            "known": platform.complete_list(),
+            "settings": platform_settings(self._script.longest_deadline),
+        }
+
+    # The run
+
+    async def _play(self) -> SoakResult:
+        busy = [subprocess.Popen([sys.executable, "-c", BUSY]) for _ in range(self._script.busy_processes)]
+        try:
+            await self._platform.start()
+            first = self._processes.start()
+            await self._processes.wait_ready(first)
+            began = time.monotonic()
+            await self._load(began)
+        finally:
+            self._processes.kill_all()
+            self._platform.stop()
+            for process in busy:
+                process.kill()
+                process.wait()
+        result = self._judge(began)
+        self._keep(result)
+        return result
+
+    async def _load(self, began: float) -> None:
+        self._spawn(self._watch_own_delay())
+        self._spawn(self._processes.watch_level(self._processes.present))
+        clients = [asyncio.create_task(SoakClient(self._shared).run()) for _ in range(CLIENTS)]
+        for step in self._script.steps:
+            await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
+            self._played.append(step)
+            self._spawn(self._do(step))
+        await asyncio.sleep(max(0.0, began + self._script.length - time.monotonic()))
+        self._shared.stopping = True
+        await asyncio.wait(clients, timeout=self._script.longest_deadline + DRAINED_AFTER_S)
+        self._task_errors += [f"client: {task.exception()!r}" for task in clients if _failed(task)]
+        await self._processes.stop()
+        for task in [*clients, *self._tasks]:
+            task.cancel()
+        await asyncio.gather(*clients, *self._tasks, return_exceptions=True)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+
+    def _task_done(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if _failed(task):
+            self._task_errors.append(f"the soak itself: {task.exception()!r}")
+
+    async def _watch_own_delay(self) -> None:
+        while True:
+            due = time.monotonic() + LAG_INTERVAL_S
+            await asyncio.sleep(LAG_INTERVAL_S)
+            self._own_delay = max(self._own_delay, time.monotonic() - due)
+
+    # Steps
+
+    async def _do(self, step: Step) -> None:
+        handlers: dict[Action, Callable[[Step], Coroutine[Any, Any, None]]] = {
+            Action.RESTART: self._restart,
+            Action.RELOAD_SERIES: self._reload_series,
+            Action.SUSPEND: self._suspend,
+            Action.CROWD: lambda step: self._crowd.play(step.duration),
+        }
+        await handlers.get(step.action, self._platform.inject)(step)
+
+    async def _restart(self, step: Step) -> None:
+        self._platform.unsettle()
+
+        def started(proxy: ProxyProcess) -> None:
+            self._spawn(self._processes.watch_level(proxy))
+
+        await self._processes.restart(step.restart, started)
+
+    async def _reload_series(self, step: Step) -> None:
+        proxy = self._processes.present
+
+        def move() -> None:
+            self._moves += 1
+            self._platform.move_discovery()
+
+        await self._processes.reload_series(step.reloads, move)
+        moves = self._moves
+        await asyncio.sleep(RELOADED_WITHIN_S)
+        agent = self._platform.agents[self._platform.agent_index]
+        undisturbed = moves == self._moves and proxy is self._processes.present and not proxy.told_to_end_at
+        if undisturbed and agent.mode == "normal" and not agent.watch_count:
+            self._processes.findings.append(
+                f"process {proxy.number} has no watch at its new discovery agent; after {step.describe()}"
+            )
+
+    async def _suspend(self, step: Step) -> None:
+        proxy = self._processes.present
+        if proxy.told_to_end_at:
+            return
+        self._record("frozen", d="n1")
+        proxy.signal(signal.SIGSTOP)
+        await asyncio.sleep(step.duration)
+        proxy.signal(signal.SIGCONT)
+        self._record("woken", d="n1")
+
+    # The verdict
+
+    def _judge(self, began: float) -> SoakResult:
+        verdict = Verdict(self._script, self._records, self._shared, began)
+        findings = [*self._processes.findings, *self._task_errors]
+        result = verdict.judge(self._processes.processes, findings, self._own_delay)
+        result.steps_played = self._played
+        return result
+
+    def _keep(self, result: SoakResult) -> None:
+        """Write records and result beside the processes' logs."""
+        lines = (json.dumps(record) for record in self._records)
+        (self._directory / "records.jsonl").write_text("\n".join(lines) + "\n", encoding="utf-8")
+        (self._directory / "result.json").write_text(json.dumps(result.as_dict(), indent=1), encoding="utf-8")
+
+
+def _failed(task: asyncio.Task[Any]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is not None
--- /dev/null
+++ b/sedgepitch/scenarios/soak/script.py
@@ -0,0 +1,215 @@
+"""The script of one soak, drawn from its seed alone: the same seed and length give the same steps."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, replace
+from enum import StrEnum
+from itertools import pairwise
+
+from sedgepitch.scenarios.errors import ScenarioError
+
+LENGTH_MIN_S, LENGTH_MAX_S = 10.0, 3600.0
+SERVERS = 4  # server 1 is the first primary
+LONGEST_DEADLINES_S = (1.0, 2.0, 3.0)  # of the classes of one run
+FIRST_RESTART_S = (4.0, 7.0)
+RESTART_INTERVAL_S = (7.0, 12.0)  # more than the longest shutdown, so that two processes are enough
+LAST_STEP_BEFORE_END_S = 6.0  # for the last shutdown to end within the run
+NEAR_RESTART_S = 1.0  # most faults come that close to a restart
+FAULTS_BY_RESTART = (2, 4)
+CROWD_EVERY = 3  # of three seeds one has a crowd
+BUSY_EVERY = 4  # of four seeds one has busy processes beside it
+BUSY_PROCESSES = 6
+SIGNAL_GAP_S = (0.01, 0.2)
+SIGNALS_IN_SERIES = (2, 6)
+SUSPENSION_S = (0.02, 0.15)  # around a signal of a restart
+LONG_SUSPENSIONS_S = (1.0, 2.0)
+LONG_SUSPENSION_CLEARANCE_S = 4.5  # none so close before a restart: its shutdown is not excused
+HANG_S = (0.5, 5.0)
+OUTAGE_S = (1.0, 4.0)
+DRAIN_S = (2.0, 6.0)
+CROWD_S = (2.0, 4.0)
+
+
+class Action(StrEnum):
+    """What a step does."""
+
+    RESTART = "restart"  # SIGTERM, then SIGKILL at the platform's earliest; the next process starts meanwhile
+    RELOAD_SERIES = "reload_series"  # SIGHUP after SIGHUP, the configuration moving between two agents
+    SUSPEND = "suspend"
+    DRAIN = "drain"
+    REMOVE = "remove"
+    HANG = "hang"
+    RESET = "reset"  # all connections of one server
+    CRASH = "crash"  # a server that is down for a while
+    PRIMARY_CHANGE = "primary_change"
+    DISCOVERY_SILENT = "discovery_silent"
+    DISCOVERY_REFUSED = "discovery_refused"
+    DISCOVERY_SLOW = "discovery_slow"
+    LIST_BURST = "list_burst"
+    CROWD = "crowd"
+
+
+FAULTS = (
+    Action.DRAIN,
+    Action.REMOVE,
+    Action.HANG,
+    Action.HANG,
+    Action.RESET,
+    Action.CRASH,
+    Action.PRIMARY_CHANGE,
+    Action.DISCOVERY_SILENT,
+    Action.DISCOVERY_REFUSED,
+    Action.DISCOVERY_SLOW,
+    Action.LIST_BURST,
+)
+OUTAGES = (Action.DISCOVERY_SILENT, Action.DISCOVERY_REFUSED, Action.DISCOVERY_SLOW)
+
+
+class FileState(StrEnum):
+    """What a process that is told to reload finds in the place of its configuration file."""
+
+    COMPLETE = "complete"
+    HALF_WRITTEN = "half_written"
+    MISSING = "missing"
+
+
+@dataclass(slots=True, frozen=True)
+class RestartPlan:
+    """How one restart goes. Times in seconds."""
+
+    successor_at_once: bool = True  # else when the old process has ended
+    reload_before: float = 0.0  # a SIGHUP so long before SIGTERM; 0 for none
+    reload_after: float = 0.0
+    repeat_after: float = 0.0  # a second SIGTERM
+    suspension: float = 0.0  # SIGSTOP just before SIGTERM, SIGCONT so long after
+
+
+DEFAULT_RESTART = RestartPlan()
+
+
+@dataclass(slots=True, frozen=True)
+class Reload:
+    """One SIGHUP of a series, and the file that it finds."""
+
+    gap: float  # s since the one before
+    file: FileState
+
+
+@dataclass(slots=True, frozen=True)
+class Step:
+    """One step. `at` is seconds since the load began."""
+
+    at: float
+    action: Action
+    server: int = 0
+    duration: float = 0.0
+    restart: RestartPlan = DEFAULT_RESTART
+    reloads: tuple[Reload, ...] = ()
+
+    def describe(self) -> str:
+        """Return the step in a few words."""
+        server = f" server {self.server}" if self.server else ""
+        duration = f" for {self.duration:.2f} s" if self.duration else ""
+        return f"{self.action}{server}{duration} at {self.at:.2f} s"
+
+
+@dataclass(slots=True, frozen=True)
+class SoakScript:
+    """What one soak plays."""
+
+    seed: int
+    length: float  # s of load
+    longest_deadline: float  # s
+    crowd: bool
+    busy_processes: int
+    steps: tuple[Step, ...]
+
+    def until(self, count: int) -> SoakScript:
+        """Return the script with its first steps alone."""
+        if count < 1:
+            raise ScenarioError("a script needs at least one step")
+        return replace(self, steps=self.steps[:count])
+
+
+def draw_script(seed: int, length: float, force_crowd: bool = False) -> SoakScript:
+    """Draw the script of a seed; raises ScenarioError for a length that cannot be used."""
+    if not LENGTH_MIN_S <= length <= LENGTH_MAX_S:
+        raise ScenarioError(f"a soak takes {LENGTH_MIN_S:g} to {LENGTH_MAX_S:g} s")
+    rng = random.Random(f"soak/{seed}")
+    crowd = force_crowd or seed % CROWD_EVERY == 0
+    longest_deadline = rng.choice(LONGEST_DEADLINES_S)
+    restarts = _restart_times(rng, length)
+    steps: list[Step] = []
+    for at in restarts:
+        steps.append(Step(at, Action.RESTART, restart=_restart_plan(rng)))
+        steps += _faults_near(rng, at)
+        if crowd:
+            steps.append(Step(_near(rng, at), Action.CROWD, duration=rng.uniform(*CROWD_S)))
+    for at in restarts:
+        steps.append(_reload_series(rng, at + rng.uniform(*RESTART_INTERVAL_S) / 2.0))
+    steps += _long_suspensions(rng, restarts)
+    steps = [step for step in steps if 0.0 <= step.at < length - LAST_STEP_BEFORE_END_S]
+    steps.sort(key=lambda step: step.at)
+    busy = BUSY_PROCESSES if seed % BUSY_EVERY == 0 else 0
+    return SoakScript(seed, length, longest_deadline, crowd, busy, tuple(steps))
+
+
+def _restart_times(rng: random.Random, length: float) -> list[float]:
+    times = []
+    at = rng.uniform(*FIRST_RESTART_S)
+    while at < length - LAST_STEP_BEFORE_END_S:
+        times.append(at)
+        at += rng.uniform(*RESTART_INTERVAL_S)
+    return times
+
+
+def _near(rng: random.Random, at: float) -> float:
+    return max(0.0, at + rng.uniform(-NEAR_RESTART_S, NEAR_RESTART_S))
+
+
+def _restart_plan(rng: random.Random) -> RestartPlan:
+    def sometimes(bounds: tuple[float, float]) -> float:
+        return rng.uniform(*bounds) if rng.random() < 1.0 / 3.0 else 0.0
+
+    return RestartPlan(
+        successor_at_once=rng.random() < 2.0 / 3.0,
+        reload_before=sometimes(SIGNAL_GAP_S),
+        reload_after=sometimes(SIGNAL_GAP_S),
+        repeat_after=sometimes(SIGNAL_GAP_S),
+        suspension=sometimes(SUSPENSION_S),
+    )
+
+
+def _faults_near(rng: random.Random, at: float) -> list[Step]:
+    steps = []
+    for action in rng.sample(FAULTS, rng.randint(*FAULTS_BY_RESTART)):
+        if action in OUTAGES:
+            duration = rng.uniform(*OUTAGE_S)
+        elif action in (Action.HANG, Action.CRASH):
+            duration = rng.uniform(*HANG_S)
+        elif action in (Action.DRAIN, Action.REMOVE):
+            duration = rng.uniform(*DRAIN_S)
+        else:
+            duration = 0.0
+        steps.append(Step(_near(rng, at), action, rng.randint(2, SERVERS), duration))
+    return steps
+
+
+def _reload_series(rng: random.Random, at: float) -> Step:
+    states = (FileState.COMPLETE, FileState.COMPLETE, FileState.HALF_WRITTEN, FileState.MISSING)
+    reloads = [
+        Reload(rng.uniform(*SIGNAL_GAP_S), rng.choice(states)) for _ in range(rng.randint(*SIGNALS_IN_SERIES))
+    ]
+    reloads.append(Reload(rng.uniform(*SIGNAL_GAP_S), FileState.COMPLETE))
+    return Step(at, Action.RELOAD_SERIES, reloads=tuple(reloads))
+
+
+def _long_suspensions(rng: random.Random, restarts: list[float]) -> list[Step]:
+    """One suspension of a second or two, where no shutdown falls into it."""
+    for before, after in pairwise(restarts):
+        at = before + LONG_SUSPENSION_CLEARANCE_S
+        duration = rng.choice(LONG_SUSPENSIONS_S)
+        if at + duration + NEAR_RESTART_S < after:
+            return [Step(at, Action.SUSPEND, duration=duration)]
+    return []
--- /dev/null
+++ b/sedgepitch/scenarios/soak/verdict.py
@@ -0,0 +1,182 @@
+"""What a soak finds: the audit of its records, and what became of the proxy's processes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+from sedgepitch.audit.findings import Finding
+from sedgepitch.audit.records import Record
+from sedgepitch.audit.rules import audit
+from sedgepitch.scenarios.soak.clients import Crossing, SharedState
+from sedgepitch.scenarios.soak.proxy_processes import ProxyProcess
+from sedgepitch.scenarios.soak.script import SoakScript, Step
+from sedgepitch.scenarios.soak.traffic import guarantees, rule_parameters
+
+NO_ATTEMPT_AFTER_LEAVING_S = 0.1
+LEVEL_FACTOR = 1.5
+LEVEL_MEMORY_MB = 8.0
+LEVEL_DESCRIPTORS = 60
+CROWD_MARGIN_S = 1.0  # around a crowd, when connections may be shut unread for want of descriptors
+
+
+@dataclass(slots=True)
+class SoakResult:
+    """One soak. Times in seconds."""
+
+    script: SoakScript
+    requests: int
+    served: int
+    restarts: int
+    findings: list[Finding]
+    violations: list[str]  # beside the five rules
+    proxy_delay: float
+    own_delay: float
+    unread: int = 0  # first requests whose connection was shut unread while a crowd held the descriptors
+    crossed: int = 0  # requests that met the close of a kept connection
+    steps_played: list[Step] = field(default_factory=list)
+
+    @property
+    def passed(self) -> bool:
+        """Whether no rule was broken and nothing else was found."""
+        return not self.violations and not any(finding.broken for finding in self.findings)
+
+    def as_dict(self) -> dict[str, Any]:
+        """Return it for a report."""
+        return {
+            "seed": self.script.seed,
+            "crowd": self.script.crowd,
+            "busy": self.script.busy_processes,
+            "steps": [step.describe() for step in self.steps_played],
+            "requests": self.requests,
+            "served": self.served,
+            "restarts": self.restarts,
+            "crossed": self.crossed,
+            "unread": self.unread,
+            "rules": [finding.as_dict() for finding in self.findings],
+            "violations": self.violations,
+            "proxy_delay_s": round(self.proxy_delay, 3),
+            "own_delay_s": round(self.own_delay, 3),
+            "passed": self.passed,
+        }
+
+
+class Verdict:
+    """Judges one run. `began` is when its load began, on the clock of the records."""
+
+    def __init__(self, script: SoakScript, records: list[Record], shared: SharedState, began: float) -> None:
+        """Take what the run left."""
+        self._script = script
+        self._records = sorted(records, key=lambda record: record["t"])
+        self._shared = shared
+        self._began = began
+        self._received = {record["rid"] for record in records if record["e"] == "recv"}
+
+    def judge(
+        self, processes: list[ProxyProcess], process_findings: list[str], own_delay: float
+    ) -> SoakResult:
+        """Return the result."""
+        violations = list(process_findings)
+        lost, unread = self._closed_connections()
+        violations += lost
+        violations += self._late_attempts(own_delay)
+        violations += [f"wrong value: {text}" for text in self._shared.wrong_values]
+        for proxy in processes:
+            violations += self._process_violations(proxy)
+        violations += self._levels(processes)
+        findings = audit(self._records, guarantees(), rule_parameters(own_delay))
+        answers = [record for record in self._records if record["e"] == "got"]
+        return SoakResult(
+            self._script,
+            requests=sum(record["e"] == "ask" for record in self._records),
+            served=sum(record["verdict"] == "served" for record in answers),
+            restarts=len(processes) - 1,
+            findings=[self._with_steps(finding) for finding in findings],
+            violations=violations,
+            proxy_delay=max((proxy.longest_lag() for proxy in processes), default=0.0),
+            own_delay=own_delay,
+            unread=unread,
+            crossed=len(self._shared.crossings),
+        )
+
+    # Connections that the proxy closed
+
+    def _closed_connections(self) -> tuple[list[str], int]:
+        """Return requests lost by a close, and how many first ones were shut unread in a crowd."""
+        lost = [
+            self._described("read by the proxy, and its connection closed without an answer", crossing)
+            for crossing in self._shared.crossings
+            if crossing.rid in self._received
+        ]
+        unread = 0
+        for crossing in self._shared.refused_unread:
+            if crossing.rid not in self._received and self._in_crowd(crossing.ask["t"]):
+                unread += 1
+            else:
+                lost.append(self._described("a new connection closed without an answer", crossing))
+        return lost, unread
+
+    def _in_crowd(self, moment: float) -> bool:
+        return any(
+            begin - CROWD_MARGIN_S <= moment - self._began <= begin + duration + CROWD_MARGIN_S
+            for begin, duration in ((s.at, s.duration) for s in self._script.steps if s.action == "crowd")
+        )
+
+    def _described(self, what: str, crossing: Crossing) -> str:
+        return f"{crossing.rid} ({crossing.ask['cls']}): {what}; {self._step_before(crossing.ask['t'])}"
+
+    def _late_attempts(self, own_delay: float) -> list[str]:
+        left = {record["rid"]: record["t"] for record in self._records if record["e"] == "left"}
+        allowed = NO_ATTEMPT_AFTER_LEAVING_S + own_delay
+        return [
+            f"{record['rid']}: sent on {record['t'] - left[record['rid']]:.3f} s after its client left; "
+            f"{self._step_before(record['t'])}"
+            for record in self._records
+            if record["e"] == "recv" and record["t"] - left.get(record["rid"], record["t"]) > allowed
+        ]
+
+    # Processes
+
+    def _process_violations(self, proxy: ProxyProcess) -> list[str]:
+        name = f"process {proxy.number}"
+        found = []
+        if proxy.killed:
+            found.append(f"{name} had not ended when the platform may kill it")
+        elif proxy.process.returncode != 0:
+            found.append(f"{name} ended with exit code {proxy.process.returncode}")
+        text = proxy.text()
+        if "Traceback" in text:
+            found.append(f"{name} logged a traceback")
+        if proxy.ready_at and not proxy.killed and "requests_pending=0" not in text:
+            found.append(f"{name} did not end with no request pending")
+        return found
+
+    @staticmethod
+    def _levels(processes: list[ProxyProcess]) -> list[str]:
+        levels = [(proxy.number, proxy.level) for proxy in processes if proxy.level is not None]
+        found = []
+        for number, level in levels[1:]:
+            first = levels[0][1]
+            memory_max = LEVEL_FACTOR * first.memory_mb + LEVEL_MEMORY_MB
+            descriptors_max = LEVEL_FACTOR * first.descriptors + LEVEL_DESCRIPTORS
+            if level.memory_mb > memory_max or level.descriptors > descriptors_max:
+                found.append(
+                    f"process {number} holds {level.memory_mb:.0f} MB and {level.descriptors} descriptors, "
+                    f"the first one held {first.memory_mb:.0f} and {first.descriptors}"
+                )
+        return found
+
+    # Naming the step
+
+    def _step_before(self, moment: float) -> str:
+        before = [step for step in self._script.steps if step.at <= moment - self._began]
+        return f"after {before[-1].describe()}" if before else "before the first step"
+
+    def _with_steps(self, finding: Finding) -> Finding:
+        """Name the step before each violation that begins with a request's id."""
+        asked = {record["rid"]: record["t"] for record in self._records if record["e"] == "ask"}
+        finding.violations = [
+            f"{text}; {self._step_before(asked[rid])}" if (rid := text.partition(":")[0]) in asked else text
+            for text in finding.violations
+        ]
+        return finding
--- /dev/null
+++ b/tests/support/faulty_nodes.py
@@ -0,0 +1,58 @@
+"""The platform's program with one fault each, which the soak must convict.
+
+Run as `python -m tests.support.faulty_nodes FAULT`; by test_soak.py.
+"""
+
+from __future__ import annotations
+
+import signal
+import sys
+
+from sedgepitch.node.signals import SignalQueue
+
+SIGNALS = SignalQueue()
+
+from sedgepitch.core.engine import Engine  # noqa: E402
+from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule  # noqa: E402
+from sedgepitch.node import __main__ as node  # noqa: E402
+from sedgepitch.node.signal_actions import SignalActions  # noqa: E402
+from sedgepitch.protocols.postgresql.client_listener import ClientListener  # noqa: E402
+
+
+def close_held_connections() -> None:
+    """At SIGTERM all clients' connections are closed, whatever they carry."""
+
+    def begin_shutdown(self: ClientListener, _schedule: ShutdownSchedule) -> None:
+        for connection in list(self.connections):
+            connection.transport.abortConnection()
+
+    ClientListener.begin_shutdown = begin_shutdown
+
+
+def forward_until_the_exit() -> None:
+    """What is read during a shutdown is forwarded to the last, and its answers are not waited for."""
+    ClientListener.begin_shutdown = lambda self, schedule: None
+    Engine.answer_all_by = lambda self, moment: None
+    ShutdownSchedule.may_exit = lambda self, now, **state: now >= self.exit_deadline
+
+
+def lose_the_second_reload() -> None:
+    """Only the first SIGHUP is acted on."""
+    handle = SignalActions.handle
+
+    def handle_first(self: SignalActions, number: int) -> None:
+        if number != signal.SIGHUP or not self._reload_number:
+            handle(self, number)
+
+    SignalActions.handle = handle_first
+
+
+FAULTS = {
+    "close_held_connections": close_held_connections,
+    "forward_until_the_exit": forward_until_the_exit,
+    "lose_the_second_reload": lose_the_second_reload,
+}
+
+if __name__ == "__main__":
+    FAULTS[sys.argv[1]]()
+    sys.exit(node.main(SIGNALS))
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,132 @@
+"""The soak: its script, a short run on fixed seeds, and faulty programs that it must convict.
+
+The long run, 50 seeds of 60 s, is started by hand: `sedgepitch soak --seeds 1-50 --at-once 5 --keep DIR`.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from itertools import pairwise
+from pathlib import Path
+
+import pytest
+
+from sedgepitch.scenarios.errors import ScenarioError
+from sedgepitch.scenarios.soak.runner import SoakRun
+from sedgepitch.scenarios.soak.script import Action, FileState, Reload, SoakScript, Step, draw_script
+from tests.support.faulty_nodes import FAULTS
+from tests.support.platform import ROOT
+
+SHORT_S = 20.0
+CROWD_SEED, SIGNALS_SEED, KILL_SEED = 3, 7, 10
+HANG_THROUGH_SHUTDOWN = tuple(Step(3.5, Action.HANG, server, 6.0) for server in range(1, 5))
+RESTART = Step(4.0, Action.RESTART)
+TWO_RELOADS = Step(2.0, Action.RELOAD_SERIES, reloads=(Reload(0.1, FileState.COMPLETE),) * 2)
+CONVICTING = {
+    "close_held_connections": (RESTART,),
+    "forward_until_the_exit": (*HANG_THROUGH_SHUTDOWN, RESTART),
+    "lose_the_second_reload": (TWO_RELOADS,),
+}
+
+
+def play(script: SoakScript, folder: Path, fault: str = "") -> dict:
+    """Play one script, on the program as it ships or with a fault."""
+    command = [sys.executable, "-m", "tests.support.faulty_nodes", fault] if fault else None
+    return SoakRun(script, folder, command).run().as_dict()
+
+
+@pytest.fixture(scope="module")
+def results(tmp_path_factory) -> dict[str, dict]:
+    """All runs of this file, side by side."""
+    scripts = {str(seed): draw_script(seed, SHORT_S) for seed in (CROWD_SEED, SIGNALS_SEED, KILL_SEED)}
+    for name, steps in CONVICTING.items():
+        scripts[name] = SoakScript(1, 12.0, 2.0, False, 0, steps)
+    scripts["no fault"] = SoakScript(1, 12.0, 2.0, False, 0, (TWO_RELOADS, *HANG_THROUGH_SHUTDOWN, RESTART))
+    with ProcessPoolExecutor(4) as pool:
+        playing = {
+            name: pool.submit(play, script, tmp_path_factory.mktemp("soak"), name if name in FAULTS else "")
+            for name, script in scripts.items()
+        }
+        return {name: future.result() for name, future in playing.items()}
+
+
+def told(result: dict) -> list[str]:
+    """All that a run found, in words."""
+    return [text for rule in result["rules"] for text in rule["told"]] + result["violations"]
+
+
+@pytest.mark.parametrize("seed", [CROWD_SEED, SIGNALS_SEED, KILL_SEED])
+def test_a_short_soak_of_the_program_finds_nothing(results, seed):
+    result = results[str(seed)]
+    assert result["passed"], told(result)
+    assert result["requests"] > 300 and result["restarts"] >= 1
+
+
+def test_the_seeds_of_the_short_soak_have_a_crowd_a_series_of_signals_and_a_kill_at_the_earliest():
+    assert any(step.action is Action.CROWD for step in draw_script(CROWD_SEED, SHORT_S).steps)
+    assert any(step.action is Action.RELOAD_SERIES for step in draw_script(SIGNALS_SEED, SHORT_S).steps)
+    assert any(step.action is Action.RESTART for step in draw_script(KILL_SEED, SHORT_S).steps)
+
+
+@pytest.mark.parametrize(
+    "fault, words",
+    [
+        ("close_held_connections", "connection closed without an answer"),
+        ("forward_until_the_exit", "connection closed without an answer"),
+        ("lose_the_second_reload", "no watch at its new discovery agent"),
+    ],
+)
+def test_a_faulty_program_is_convicted(results, fault, words):
+    assert not results[fault]["passed"]
+    assert any(words in text for text in told(results[fault])), told(results[fault])
+
+
+def test_the_program_without_the_faults_passes_the_scripts_that_convict_them(results):
+    assert results["no fault"]["passed"], told(results["no fault"])
+
+
+def test_a_verdict_names_the_step_before_it(results):
+    assert any("after restart at 4.00 s" in text for text in told(results["close_held_connections"]))
+
+
+# The script
+
+
+def test_the_same_seed_gives_the_same_script_and_another_seed_another():
+    assert draw_script(5, 60.0) == draw_script(5, 60.0)
+    assert draw_script(5, 60.0).steps != draw_script(6, 60.0).steps
+    assert draw_script(5, 60.0).until(3).steps == draw_script(5, 60.0).steps[:3]
+
+
+def test_fifty_scripts_have_each_kind_of_step_and_leave_each_shutdown_its_time():
+    scripts = [draw_script(seed, 60.0) for seed in range(1, 51)]
+    assert {step.action for script in scripts for step in script.steps} == set(Action)
+    assert sum(script.crowd for script in scripts) == 16 and sum(s.busy_processes > 0 for s in scripts) == 12
+    for script in scripts:
+        restarts = [step.at for step in script.steps if step.action is Action.RESTART]
+        assert len(restarts) >= 3
+        assert all(later - earlier > 3.7 for earlier, later in pairwise(restarts))
+
+
+@pytest.mark.parametrize("length", [1.0, 1e9])
+def test_a_length_that_cannot_be_used_is_refused(length):
+    with pytest.raises(ScenarioError):
+        draw_script(1, length)
+
+
+@pytest.mark.parametrize(
+    "arguments", [["--seeds", "x"], ["--seeds", "5-1"], ["--length", "1"], ["--seeds", "1", "--until", "0"]]
+)
+def test_bad_input_ends_with_2_and_one_line_that_names_it(arguments):
+    ran = subprocess.run(
+        [sys.executable, "-m", "sedgepitch", "soak", *arguments], capture_output=True, text=True, cwd=ROOT
+    )
+    assert ran.returncode == 2 and "Traceback" not in ran.stderr
+    assert len(ran.stderr.strip().splitlines()) == 1 and ran.stderr.startswith("sedgepitch soak: ")
+
+
+def test_a_soak_that_cannot_start_its_process_says_which_and_why(tmp_path):
+    with pytest.raises(ScenarioError, match="proxy process 1: no-such-program"):
+        SoakRun(draw_script(1, SHORT_S), tmp_path, ["no-such-program"]).run()
