A shutdown requested during a suspension counts from before it

Cause: the platform counts from sending SIGTERM, the program counted from handling it.

Evidence: killed processes had been suspended for up to 0.14 s around SIGTERM and logged 'stopped' 1.50 to 1.67 s after 'stopping', the kill being due 1.7 s after SIGTERM. Forced with a suspension of 2.5 s and a request on a hanging server: answered 4.8 s after SIGTERM, the kill being due after 3.7 s.

Change: LoopStall tells since when the event loop may have stood still, by a check that is due each 0.1 s; the shutdown schedule counts from there, and 'stopping' logs requested_ago_ms.

Why it works: the signal cannot be older than the loop's last sign of life. Too early by 0.12 s at most.

--- a/sedgepitch/node/proxy.py
+++ b/sedgepitch/node/proxy.py
@@ -34,6 +34,7 @@
 LISTEN_BACKLOG = 512
 ACCEPTS_PER_TURN = 16
 STATISTICS_INTERVAL_S = 5.0
+MS_PER_S = 1000.0
 TRACE_STATISTICS_INTERVAL_S = 0.5  # while the trace is switched on
 # Fields of NodeConfig that a reload does not change; the log names them.
 FIXED_FIELDS = ("name", "listen", "cores", "memory", "sockets", "settings", "connect_within", "idle_for")
@@ -188,15 +189,21 @@
             self.log.log_event("reload.ignored", fields=",".join(ignored), reason="they take a restart")
 
     def stop(self, on_stopped: Callable[[], None]) -> None:
-        """Shut down gracefully; `on_stopped` is called once no request is pending."""
+        """Shut down gracefully; `on_stopped` is called once no request is pending.
+
+        The platform counts from when it sent the signal, which may have been at any time of a suspension.
+        """
         longest_deadline = max(c.deadline for c in self.config.settings.classes)
-        schedule = ShutdownSchedule(self.clock.now(), longest_deadline)
+        now = self.clock.now()
+        requested_at = self.clients.stall.running_since(now)
+        schedule = ShutdownSchedule(requested_at, longest_deadline)
         if self.port_binding is not None:
             self.port_binding.cancel()
         self.log.log_event(
             "stopping",
             pending=self.engine.request_table.pending,
             clients=len(self.clients.connections),
+            requested_ago_ms=round((now - requested_at) * MS_PER_S),
         )
 
         def drained() -> None:
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -9,6 +9,7 @@
 from sedgepitch.core.types import NEVER, Clock
 from sedgepitch.decisions.connections.client_connections import ClientConnections
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
+from sedgepitch.decisions.connections.loop_stall import LoopStall
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.net import socket_state
 from sedgepitch.protocols.postgresql.close_reasons import CloseLog, CloseReason
@@ -57,12 +58,15 @@
         self.disconnects_found_late = 0  # clients found gone when their statement was taken up
         self.close_idle_from = NEVER  # from then on connections without a request are closed
         self.answer_by = NEVER  # by then every request has had its response, and the process ends
+        self.stall = LoopStall(CHECK_INTERVAL_S, clock.now())
         clock.call_later(CHECK_INTERVAL_S, self._check_due)
 
     # Periodic check
 
     def _check_due(self) -> None:
-        self.clock.after_reading(self._check, self.clock.now())
+        now = self.clock.now()
+        self.stall.checked(now)
+        self.clock.after_reading(self._check, now)
 
     def _check(self, at: float) -> None:
         for connection in self.activity.remove_timed_out(at):
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -221,6 +221,27 @@
     assert "Traceback" not in platform.log.read_text()
 
 
+# Guards against: a shutdown counted from the end of a suspension, which outlasts the platform's kill.
+def test_a_shutdown_that_was_requested_during_a_suspension_counts_from_before_it(platform):
+    hang = threading.Event()
+    for endpoint in platform.endpoints:
+        endpoint.script = lambda s: hang.wait(TIMEOUT_S) and None
+    client = platform.client()
+    client.socket.sendall(codec.query(read_statement(1)))
+    wait_until(lambda: any(m.statements for m in platform.endpoints))
+    platform.signal(signal.SIGSTOP)
+    told_at = time.monotonic()
+    platform.signal(signal.SIGTERM)
+    time.sleep(2.5)  # the process is suspended for that long
+    platform.signal(signal.SIGCONT)
+    assert client.read_until_ready()[-1][0] == b"Z"
+    answered_after = time.monotonic() - told_at
+    hang.set()
+    assert platform.process.wait(timeout=TIMEOUT_S) == 0
+    assert answered_after < 3.7, "s, when the platform may kill"
+    assert int(platform.wait_for(r"stopping .*requested_ago_ms=(\d+)")[1]) >= 2400
+
+
 def test_clients_that_send_during_a_shutdown_get_an_answer_or_a_close_for_each_request(platform):
     clients = [platform.client() for _ in range(8)]
     unanswered = []
