The platform's program leaves without the interpreter's teardown

Seen: the soak on a busy machine found processes that had logged 'stopped' and were still there at the platform's kill, up to 0.1 s later, with nothing pending.

Cause: the schedule leaves 30 ms between the exit and the kill; tearing down the interpreter took 9 to 16 ms of them on an idle machine.

Change: once the reactor has stopped, the log is flushed and the process exits at once.

--- a/sedgepitch/node/__main__.py
+++ b/sedgepitch/node/__main__.py
@@ -12,8 +12,9 @@
 
 SIGNALS = SignalQueue() if __name__ == "__main__" else None  # before what takes long to load
 
+import contextlib  # noqa: E402
 import gc  # noqa: E402
-from typing import Any  # noqa: E402
+from typing import Any, NoReturn  # noqa: E402
 
 from sedgepitch.core.clock import unix_offset  # noqa: E402
 from sedgepitch.net.twisted_types import Reactor  # noqa: E402
@@ -85,6 +86,13 @@
     return exit_code
 
 
+def leave(exit_code: int) -> NoReturn:
+    """End the process at once: on a busy machine the interpreter's teardown may outlast the kill."""
+    with contextlib.suppress(OSError, ValueError):  # nobody may be reading any more
+        sys.stderr.flush()
+    os._exit(exit_code)
+
+
 if __name__ == "__main__":
     assert SIGNALS is not None
-    sys.exit(main(SIGNALS))
+    leave(main(SIGNALS))
--- a/tests/support/faulty_nodes.py
+++ b/tests/support/faulty_nodes.py
@@ -55,4 +55,4 @@
 
 if __name__ == "__main__":
     FAULTS[sys.argv[1]]()
-    sys.exit(node.main(SIGNALS))
+    node.leave(node.main(SIGNALS))
