--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -180,6 +180,7 @@
     # The verdict
 
     def _judge(self, began: float) -> SoakResult:
+        self._records += self._platform.notified
         verdict = Verdict(self._script, self._records, self._shared, began)
         findings = [*self._processes.findings, *self._task_errors]
         result = verdict.judge(self._processes.processes, findings, self._own_delay)
