The platform's program exits 60 ms before the kill, not 30

Cause: 30 ms are too little to close what clients still hold. All requests have been answered 150 ms before the kill.

Change: EXIT_BEFORE_KILL_S is 0.06 s.

--- a/sedgepitch/decisions/connections/shutdown_schedule.py
+++ b/sedgepitch/decisions/connections/shutdown_schedule.py
@@ -24,7 +24,7 @@
 KILL_MARGIN_S = 0.7
 CLOSE_IDLE_BEFORE_KILL_S = 0.35
 DRAIN_BEFORE_KILL_S = 0.15
-EXIT_BEFORE_KILL_S = 0.03
+EXIT_BEFORE_KILL_S = 0.06  # for the end of what clients still hold: dozens of connections take half of it
 
 
 class ShutdownSchedule:
