--- a/sedgepitch/cli/soak.py
+++ b/sedgepitch/cli/soak.py
@@ -93,12 +93,12 @@
 
 def _show(result: dict[str, Any]) -> None:
     """Print one seed's row, and what was found."""
-    told = [text for rule in result["rules"] for text in rule["told"]] + result["violations"]
+    violations = [text for rule in result["rules"] for text in rule["told"]] + result["violations"]
     broken = sum(rule["broken"] for rule in result["rules"]) + len(result["violations"])
     delays = [round(1000 * result[name]) for name in ("proxy_delay_s", "own_delay_s")]
     counts = [result["requests"], result["served"], result["restarts"], broken]
     click.echo(_row((result["seed"], len(result["steps"]), *counts, *delays)))
-    for text in told[:VIOLATIONS_SHOWN]:
+    for text in violations[:VIOLATIONS_SHOWN]:
         click.echo(f"    {text}")
 
 
--- a/sedgepitch/decisions/zones/votes.py
+++ b/sedgepitch/decisions/zones/votes.py
@@ -14,7 +14,8 @@
 UNANSWERED_MIN = 2  # attempts since the last success, for a zone with fewer unreachable ones to be lost
 SILENCE_GAPS = 4.0  # mean gaps between answers without one
 SILENCE_MIN_MS = 500.0
-ATTEMPTS_MIN = 8  # below this neither a share of failures nor a mean latency proves anything
+ATTEMPTS_MIN = 8  # below this a share of failures proves nothing
+SLOW_ANSWERS_MIN = 3  # one slow answer is chance; a slow zone gives few, so more would leave it unjudged
 FAILURE_SHARE = 0.2  # of attempts, of a zone that fails
 HEALTHY_FAILURE_SHARE = 0.05  # of attempts, of a zone that others are compared with
 HEALTHY_LATENCY_RATIO = 0.4  # mean latency over the objective, of such a zone
@@ -94,7 +95,7 @@
     if _is_failing(row):
         return Vote.FAILING
     if row.latency_permille >= PERMILLE * SLOW_LATENCY_RATIO_MIN and row.slow >= OUTAGE_SHARE * row.endpoints:
-        return Vote.SLOW if row.successes >= ATTEMPTS_MIN else Vote.NONE
+        return Vote.SLOW if row.successes >= SLOW_ANSWERS_MIN else Vote.NONE
     many_failures = failures(row) >= FAILURE_SHARE * row.attempts
     return Vote.NONE if without_answers or many_failures else Vote.HEALTHY
 
--- a/sedgepitch/scenarios/soak/clients.py
+++ b/sedgepitch/scenarios/soak/clients.py
@@ -45,6 +45,7 @@
 
     rid: str
     ask: dict[str, Any]
+    closed_at: float
 
 
 @dataclass(slots=True)
@@ -193,7 +194,7 @@
         shared = self._shared
         kept = self._answered > 0
         self._close()
-        crossing = Crossing(ask["rid"], ask)
+        crossing = Crossing(ask["rid"], ask, time.monotonic())
         if not kept:
             shared.refused_unread.append(crossing)
             return
--- a/sedgepitch/scenarios/soak/emulated_platform.py
+++ b/sedgepitch/scenarios/soak/emulated_platform.py
@@ -14,7 +14,7 @@
 
 LIST_BURST_VERSIONS = 20
 NOTIFIED_WITHIN_S = 6.0  # of a change, or of the end of an outage, a proxy counts as notified
-SETTLED_AFTER_S = 6.0  # without outage or new configuration: a change counts as notified at once
+PROMPT_AFTER_S = 6.0  # without outage or new configuration: a change counts as notified at once
 AGENT_MODES = {
     Action.DISCOVERY_SILENT: AgentMode.SILENT,
     Action.DISCOVERY_REFUSED: AgentMode.REFUSED,
@@ -37,7 +37,7 @@
         self._phases = {server.name: "up" for server in self.servers}
         self.notified: list[dict[str, Any]] = []  # records of what the proxy counts as notified of, and when
         self._record = record
-        self._unsettled_until = 0.0
+        self._delayed_until = 0.0
 
     async def start(self) -> None:
         """Listen everywhere."""
@@ -80,23 +80,23 @@
         for agent in self.agents:
             agent.send(change)
         now = time.monotonic()
-        settled = now >= self._unsettled_until
-        notified_at = now if settled else self._unsettled_until + NOTIFIED_WITHIN_S
+        prompt = now >= self._delayed_until
+        notified_at = now if prompt else self._delayed_until + NOTIFIED_WITHIN_S
         phase = self._phases[server.name]
         if phase == "up":  # a drain that the proxy does not count as notified of by now, it need not know
             self.notified = [n for n in self.notified if n["m"] != server.number or n["t"] <= now]
             notified_at = now
         self.notified.append({"e": "told", "t": notified_at, "d": PROXY, "m": server.number, "state": phase})
 
-    def unsettle(self, duration: float = 0.0) -> None:
+    def delay_notifications(self, duration: float = 0.0) -> None:
         """Note an outage, a restart or a new configuration: changes count as notified later for a while."""
-        until = time.monotonic() + duration + SETTLED_AFTER_S
-        self._unsettled_until = max(self._unsettled_until, until)
+        until = time.monotonic() + duration + PROMPT_AFTER_S
+        self._delayed_until = max(self._delayed_until, until)
 
     def move_discovery(self) -> None:
         """Have the configuration name the other agent."""
         self.agent_index = 1 - self.agent_index
-        self.unsettle()
+        self.delay_notifications()
 
     # Faults
 
@@ -156,7 +156,7 @@
                 self._publish(server)
 
     async def _discovery_outage(self, mode: AgentMode, duration: float) -> None:
-        self.unsettle(duration)
+        self.delay_notifications(duration)
         for agent in self.agents:
             await agent.set_mode(mode)
         await asyncio.sleep(duration)
--- a/sedgepitch/scenarios/soak/proxy_processes.py
+++ b/sedgepitch/scenarios/soak/proxy_processes.py
@@ -53,7 +53,7 @@
     log: Path
     started_at: float
     ready_at: float = 0.0
-    told_to_end_at: float = 0.0
+    terminated_at: float = 0.0
     killed: bool = False
     level: ResourceLevel | None = None
 
@@ -137,7 +137,7 @@
         end = proxy.started_at + READY_TIMEOUT_S
         while "listening address=" not in proxy.text():
             if not proxy.runs or time.monotonic() > end:
-                if not proxy.told_to_end_at:
+                if not proxy.terminated_at:
                     last = proxy.text().strip().splitlines()[-1:]
                     self.findings.append(f"process {proxy.number} never listened: {''.join(last)}")
                 return
@@ -161,7 +161,7 @@
         if plan.suspension:
             old.signal(signal.SIGSTOP)
         old.signal(signal.SIGTERM)
-        old.told_to_end_at = time.monotonic()
+        old.terminated_at = time.monotonic()
         kill = asyncio.create_task(self._kill_at_earliest(old))
         if plan.suspension:
             await asyncio.sleep(plan.suspension)
@@ -179,7 +179,7 @@
 
     async def _kill_at_earliest(self, proxy: ProxyProcess) -> None:
         """Wait for a process's end, until the moment at which the platform may kill it."""
-        end = proxy.told_to_end_at + min(self.longest_deadline, MAX_DEADLINE_S) + KILL_MARGIN_S
+        end = proxy.terminated_at + min(self.longest_deadline, MAX_DEADLINE_S) + KILL_MARGIN_S
         while proxy.runs and time.monotonic() < end:
             await asyncio.sleep(POLL_INTERVAL_S)
         if proxy.runs:
@@ -218,7 +218,7 @@
         """End the present process as a restart does, and whatever else still runs."""
         if self.processes and self.present.runs:
             self.present.signal(signal.SIGTERM)
-            self.present.told_to_end_at = time.monotonic()
+            self.present.terminated_at = time.monotonic()
             await self._kill_at_earliest(self.present)
         self.kill_all()
 
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -143,7 +143,7 @@
         await handlers.get(step.action, self._platform.inject)(step)
 
     async def _restart(self, step: Step) -> None:
-        self._platform.unsettle()
+        self._platform.delay_notifications()
 
         def started(proxy: ProxyProcess) -> None:
             self._spawn(self._processes.watch_level(proxy))
@@ -161,7 +161,7 @@
         moves = self._moves
         await asyncio.sleep(RELOADED_WITHIN_S)
         agent = self._platform.agents[self._platform.agent_index]
-        undisturbed = moves == self._moves and proxy is self._processes.present and not proxy.told_to_end_at
+        undisturbed = moves == self._moves and proxy is self._processes.present and not proxy.terminated_at
         if undisturbed and agent.mode == "normal" and not agent.watch_count:
             self._processes.findings.append(
                 f"process {proxy.number} has no watch at its new discovery agent; after {step.describe()}"
@@ -169,7 +169,7 @@
 
     async def _suspend(self, step: Step) -> None:
         proxy = self._processes.present
-        if proxy.told_to_end_at:
+        if proxy.terminated_at:
             return
         self._record("frozen", d="n1")
         proxy.signal(signal.SIGSTOP)
--- a/sedgepitch/scenarios/soak/verdict.py
+++ b/sedgepitch/scenarios/soak/verdict.py
@@ -123,7 +123,7 @@
         )
 
     def _described(self, what: str, crossing: Crossing) -> str:
-        return f"{crossing.rid} ({crossing.ask['cls']}): {what}; {self._step_before(crossing.ask['t'])}"
+        return f"{crossing.rid} ({crossing.ask['cls']}): {what}; {self._step_before(crossing.closed_at)}"
 
     def _late_attempts(self, own_delay: float) -> list[str]:
         left = {record["rid"]: record["t"] for record in self._records if record["e"] == "left"}
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import os
 import re
@@ -13,7 +14,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -273,6 +274,20 @@
             part.close()
 
 
+@contextlib.contextmanager
+def running_platform(folder: Path, environment: dict[str, str] | None = None) -> Iterator[Platform]:
+    """A platform whose proxy process runs and knows the endpoint list; nothing of it is left afterwards."""
+    held = Platform(folder)
+    held.environment = environment or {}
+    try:
+        held.configure()
+        held.start()
+        held.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
+        yield held
+    finally:
+        held.close()
+
+
 class Client:
     """A blocking client."""
 
