Overload keeps clients in the backlog for 0.2 s at most

Cause: an overloaded process accepts nothing for as long as the overload lasts, though the time of a client in the backlog runs.

Change: AcceptPause lets one turn's connections (64 at most) in each 0.2 s of overload. In 'serve' alone; the platform's program never paused for overload.

--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -10,6 +10,7 @@
 
 import structlog
 
+from sedgepitch.cli.accept_pause import AcceptPause
 from sedgepitch.cli.assembly import make_context, make_upstream
 from sedgepitch.cli.status_pages import make_site
 from sedgepitch.config.models import Settings
@@ -73,6 +74,7 @@
         self.peers = self._make_peers()
         self.zones = self._make_zones()
         self.ports: list[listener.Listener] = []
+        self.accept_pause = AcceptPause()
         self._on_ready: Callable[[], None] | None = None
 
     # Assembly
@@ -156,11 +158,15 @@
             opened = self._open_shared_port(host, port, factory)
         else:
             opened = listener.listen(self.reactor, port, factory, host, CLIENT_BACKLOG)
-        opened.may_accept = lambda: not self.engine.process_limit.overloaded_at(self.clock.now())
+        opened.may_accept = self._may_accept
         opened.on_problem = self._accept_failed
         self.ports.append(opened)
         return opened
 
+    def _may_accept(self) -> bool:
+        now = self.clock.now()
+        return self.accept_pause.may_accept(self.engine.process_limit.overloaded_at(now), now)
+
     def _open_shared_port(self, host: str, port: int, factory: ClientFactory) -> listener.Listener:
         with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as shared:
             shared.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
