The log's limit per second does not drop the lines of a process's own life

Cause: 20 lines a second, whatever they say; 19 connections closed as too slow in the same second had used them up.

Change: 'listening', 'stopping' and 'stopped' are written beyond the limit; each comes once in a process.

--- a/sedgepitch/node/structured_log.py
+++ b/sedgepitch/node/structured_log.py
@@ -8,6 +8,7 @@
 from typing import TextIO
 
 MAX_LINES_PER_SECOND = 20
+NEVER_DROPPED = frozenset({"listening", "stopping", "stopped"})
 TRACE_VARIABLE = "SEDGEPITCH_TRACE"  # environment variable that switches the trace on
 
 
@@ -48,8 +49,11 @@
         self._limiter = LineLimiter(name, self.sink, MAX_LINES_PER_SECOND)
 
     def log_event(self, event: str, **fields: object) -> None:
-        """Write one event; a sink that cannot be written to is ignored."""
-        if not self._limiter.admit():
+        """Write one event; a sink that cannot be written to is ignored.
+
+        Events of the process's own life are written however much is said in their second.
+        """
+        if not self._limiter.admit() and event not in NEVER_DROPPED:
             return
         values = " ".join(f"{key}={value}" for key, value in fields.items())
         with contextlib.suppress(OSError, ValueError):
