Review case 3: a restart held up for 0.08 s loses requests at the kill

Cause: a suspension of up to 0.12 s between two checks is not seen, so the shutdown's schedule starts that much late, while the exit leaves 0.06 s before the kill. The record is buffered.

--- a/review/standins.py
+++ b/review/standins.py
@@ -90,7 +90,9 @@
 
     def __init__(self, folder: Path) -> None:
         self.started = time.monotonic()
-        self._file = (folder / "record.txt").open("w", encoding="utf-8")
+        path = folder / "record.txt"
+        path.unlink(missing_ok=True)
+        self._file = path.open("a", encoding="utf-8")
 
     def now(self) -> float:
         """Return the seconds since the start of the case."""
@@ -100,6 +102,9 @@
         """Write one line."""
         values = " ".join(f"{name}={value}" for name, value in fields.items())
         self._file.write(f"{self.now():9.4f} {event} {values}\n")
+
+    def flush(self) -> None:
+        """Write out what is buffered; not done for each line, since that would slow the clients."""
         self._file.flush()
 
 
@@ -354,6 +359,11 @@
         """Return the exit code of the process, None while it runs."""
         return None if self._process is None else self._process.poll()
 
+    def signal(self, number: int) -> None:
+        """Send the process a signal, if it runs."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
     def end(self) -> None:
         """End the process."""
         if self._process is not None and self._process.poll() is None:
@@ -454,11 +464,13 @@
             print(f"could not run: {problem!r}")
             sys.exit(COULD_NOT_RUN)
         finally:
+            record.flush()
             _keep_log(case, Path(folder))
     for line in broken:
         record.write("rule.broken", what=line)
         print(f"broken: {line}")
     record.write("case.ended", broken=len(broken))
+    record.flush()
     print(f"{len(broken)} broken, trouble={int(trouble)}")
     sys.exit(BROKEN if broken else KEPT)
 
