--- a/review/standins.py
+++ b/review/standins.py
@@ -450,11 +450,11 @@
 def play(case: Path, scenario: Scenario) -> None:
     """Play a scenario and end this process: 1 if it returns broken rules, 0 if none, 2 if it could not run.
 
-    The second argument of the scenario tells whether to play the disruption (`TROUBLE=0` leaves it out), the
-    third is a temporary folder.
+    The second argument of the scenario tells whether to play the disruption, which the first argument of the
+    program leaves out where it is 0 (`run.sh` passes TROUBLE); the third is a temporary folder.
     """
     record = Record(case)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = sys.argv[1:2] != ["0"]
     record.write("case.started", trouble=int(trouble))
     with tempfile.TemporaryDirectory() as folder:
         try:
