A paused client is read again when its next statement is incomplete

A client that pipelines uploads of 40 to 60 kB got five to seven of them served, then nothing for 2 s, then a fatal 08P01 and the end of its connection; the upload had been written whole long before, and no endpoint received it.

Cause: above the read-ahead limit a socket is not read, and reading resumed only at 32 KiB buffered or less. The beginning of a statement that is longer than that stayed in the buffer, its rest in the socket, and nothing could end the pause but the timeout for incomplete messages.

The same input without sockets stops in state READY, paused, with nothing pending.

Change: reading resumes when the buffer has drained, or when no complete message is left in it, since only input can then bring progress. A resume while a statement is in flight is as before.

--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -101,7 +101,7 @@
             message = codec.error(SQLSTATE_PROTOCOL_VIOLATION, str(error), fatal=True)
             self.end(CloseReason.BAD_MESSAGE, message)
             return
-        self.listener.read_ahead.resume_if_drained(self)
+        self.listener.read_ahead.resume_if_possible(self)
         self._note_activity()
 
     def _next_message(self) -> None:
--- a/sedgepitch/protocols/postgresql/read_ahead.py
+++ b/sedgepitch/protocols/postgresql/read_ahead.py
@@ -1,5 +1,10 @@
 """Limits the input buffered per client while a statement is in flight; above it, reading is paused.
 
+Reading is paused only while the connection makes progress without input. It resumes once the buffer has
+drained, or once no complete message is left in it: a statement may be longer than what counts as drained,
+and its rest is still in the socket. A connection therefore buffers at most its limit, or one incomplete
+message if that is longer, plus one read.
+
 The end of a client's stream is queued behind all data that it has sent, so a disconnect is not seen while the
 kernel's buffers are full. A few clients therefore get a larger limit, so that their disconnects are noticed.
 """
@@ -8,12 +13,13 @@
 
 from typing import TYPE_CHECKING
 
-from sedgepitch.protocols.postgresql.client_state import ClientState
+from sedgepitch.protocols.postgresql.client_state import READING_STATES, ClientState
 
 if TYPE_CHECKING:
     from sedgepitch.protocols.postgresql.client import ClientConnection
 
 READ_AHEAD_BYTES = 64 * 1024  # per client
+DRAINED_BYTES = READ_AHEAD_BYTES // 2  # at most this many buffered bytes count as drained
 EXTENDED_READ_AHEAD_BYTES = 512 * 1024  # per client with an extended limit, EXTENDED_CLIENTS_MAX at most
 EXTENDED_CLIENTS_MAX = 16
 
@@ -41,12 +47,18 @@
         self.paused.add(connection)
         connection.transport.pauseProducing()
 
-    def resume_if_drained(self, connection: ClientConnection) -> None:
-        """Resume reading once at most half of READ_AHEAD_BYTES is buffered."""
-        if connection.reader.buffered_bytes > READ_AHEAD_BYTES // 2:
+    def resume_if_possible(self, connection: ClientConnection) -> None:
+        """Resume reading if the buffer has drained, or if the next message cannot be completed without input.
+
+        To be called after a complete message, if there is one, was taken from the buffer: a connection that
+        is in a reading state then awaits input.
+        """
+        drained = connection.reader.buffered_bytes <= DRAINED_BYTES
+        if drained:
+            self.extended.discard(connection)
+        if not connection.reads_paused or connection.state is ClientState.CLOSING:
             return
-        self.extended.discard(connection)
-        if connection.reads_paused and connection.state is not ClientState.CLOSING:
+        if drained or connection.state in READING_STATES:
             self.resume(connection)
 
     def resume(self, connection: ClientConnection) -> None:
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -337,3 +337,11 @@
         "INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x9f03') RETURNING payload "
         f"/* id={number:x},c=change,d={d},k=5c0f{number:x},cluster=1 */"
     ).encode()
+
+
+def upload_statement(number: int, value_bytes: int, class_name: str = "change") -> bytes:
+    """Return a write statement with a value of this length."""
+    return (
+        f"INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x{'ab' * value_bytes}') RETURNING payload "
+        f"/* id={number:x},c={class_name},d=15000,k=5c0f{number:x},cluster=1 */"
+    ).encode()
