A deliberate pause of reading no longer counts as event loop lag

Callers: after a client that pipelines beyond its read-ahead limit, the process believes in a lag as long as the pause, hurries everybody's responses and rejects requests with less time left.

Cause: read_delay counted from the arrival in the kernel, whether or not the socket was read then.

Change: the transport notes since when it reads, set-up or last resume, and counts from there. The request's arrival time stays.

The fixture of the test beside it became a class that both use; its assertion is the same.

--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -78,21 +78,21 @@
 class TimestampedConnection(tcp.Connection):
     """Base class of accepted and opened connections.
 
-    `arrived` is the arrival time of the bytes passed to `dataReceived`, and `opened_at` the time at which the
-    connection was set up in this process, both in monotonic seconds. Bytes may have arrived before
-    `opened_at`, while the connection waited in the backlog; that wait counts against the request, but not as
-    read delay of this process.
+    `arrived` is the arrival time of the bytes passed to `dataReceived`, and `reading_since` the time since
+    which this process reads the connection: its set-up, or the end of the last pause. Both are in monotonic
+    seconds. Bytes may have arrived before `reading_since`, while the connection waited in the backlog or
+    reading was paused; that wait counts against the request, but not as read delay of this process.
     """
 
     arrived = 0.0
-    opened_at = 0.0
+    reading_since = 0.0
     _read_at = 0.0  # all bytes unread now arrived after this
     _has_timestamps = False
     _failing_since: float | None = None  # the first of consecutive transient errors
 
     def _start_timestamps(self) -> None:
-        self.opened_at = now()
-        self._read_at = self.opened_at
+        self.reading_since = now()
+        self._read_at = self.reading_since
         try:
             self.socket.setsockopt(socket.SOL_SOCKET, SO_TIMESTAMPNS, 1)
             self._has_timestamps = bool(_ANCILLARY_SIZE)
@@ -182,9 +182,17 @@
         with contextlib.suppress(OSError):
             self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
+    def resumeProducing(self) -> None:
+        """Resume reading after a pause."""
+        self.reading_since = now()
+        super().resumeProducing()
+
     def read_delay(self, moment: float) -> float:
-        """Return how long the last received bytes waited to be read, in seconds; 0 if unknown."""
-        return moment - max(self.arrived, self.opened_at) if self.arrived else 0.0
+        """Return how long the last received bytes waited to be read, in seconds; 0 if unknown.
+
+        The time for which reading was paused does not count.
+        """
+        return moment - max(self.arrived, self.reading_since) if self.arrived else 0.0
 
     def write(self, data: bytes) -> None:
         """Write immediately what the socket accepts, and queue the rest."""
--- a/tests/test_arrival_stamps.py
+++ b/tests/test_arrival_stamps.py
@@ -61,30 +61,68 @@
     assert timestamps.arrival_time(4517.0, 4517.2, 7.4) == pytest.approx(7.2)
 
 
-def test_a_clock_step_adds_nothing_to_the_wait_of_an_unread_request(monkeypatch):
+class ReceivingSocket:
+    """A loopback connection whose accepting side is read only when the test says so."""
+
+    def __init__(self) -> None:
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.client = socket.create_connection(self.server.getsockname())
+        self.accepted, _ = self.server.accept()
+        self.accepted.setblocking(False)
+        self.arrivals: list[float] = []
+        self.connection = transport.TimestampedConnection(self.accepted, None, SimpleNamespace())
+        self.connection.connected = True
+        self.connection.protocol = SimpleNamespace(dataReceived=self._received)
+        self.connection.startReading = self.connection.stopReading = lambda: None
+        self.connection._start_timestamps()
+
+    def _received(self, _data: bytes) -> None:
+        self.arrivals.append(self.connection.arrived)
+
+    def read(self, count: int) -> None:
+        """Read until data has been received `count` times in all."""
+        while len(self.arrivals) < count:
+            self.connection.doRead()
+
+    def close(self) -> None:
+        for opened in (self.accepted, self.client, self.server):
+            opened.close()
+
+
+@pytest.fixture
+def receiving(monkeypatch):
     monkeypatch.setattr(transport, "_timestamps", ReceiveTimestamps())
-    server = socket.create_server(("127.0.0.1", 0))
-    client = socket.create_connection(server.getsockname())
-    accepted, _ = server.accept()
-    accepted.setblocking(False)
-    arrivals: list[float] = []
-    connection = transport.TimestampedConnection(accepted, None)
-    connection.connected = True
-    connection.protocol = SimpleNamespace(dataReceived=lambda data: arrivals.append(connection.arrived))
-    connection._start_timestamps()
+    opened = ReceivingSocket()
+    yield opened
+    opened.close()
+
+
+def test_a_clock_step_adds_nothing_to_the_wait_of_an_unread_request(receiving, monkeypatch):
+    connection = receiving.connection
     connection._read_at -= 1000.0  # a long idle connection
     wall, stepped = time.time, [0.0]
     monkeypatch.setattr(transport.time, "time", lambda: wall() + stepped[0])
     for count, step in enumerate((0.0, 500.0), 1):
         sent = time.monotonic()
-        client.sendall(b"request")
+        receiving.client.sendall(b"request")
         stepped[0] = step
-        while len(arrivals) < count:
-            connection.doRead()
-        assert arrivals[-1] > sent - 60.0
+        receiving.read(count)
+        assert receiving.arrivals[-1] > sent - 60.0
         connection._read_at -= 1000.0
-    for opened in (accepted, client, server):
-        opened.close()
+
+
+# Guards against a pause of reading that counts as the process's own delay.
+def test_the_time_for_which_reading_was_paused_is_no_read_delay(receiving):
+    connection = receiving.connection
+    connection.pauseProducing()
+    receiving.client.sendall(b"request")
+    time.sleep(0.05)
+    resumed_at = time.monotonic()
+    connection.resumeProducing()
+    receiving.read(1)
+    moment = time.monotonic()
+    assert connection.read_delay(moment) <= moment - resumed_at
+    assert receiving.arrivals[0] < resumed_at, "the wait still counts against the request"
 
 
 @given(st.lists(st.sampled_from([0.0, 1e-7, 0.004, 0.5]), min_size=15, max_size=15))
