A MongoDB client is read again after its last buffered command

Callers: a client of the daemon that sends a command of over 256 KiB while its previous one is executing gets both replies, and its socket is never read again: each later command on the connection hangs.

Reading resumed in advance() alone; where the last buffered command had left the buffer empty, its reply ended the pause between commands without it.

Evidence: without sockets, two inserts, the second of 300 kB behind the pending first: after both replies the transport is paused, with nothing buffered and nothing executing.

Change: both places that end the pause between commands resume reading.

--- a/sedgepitch/protocols/mongodb/client.py
+++ b/sedgepitch/protocols/mongodb/client.py
@@ -82,7 +82,12 @@
         if self.executing or self.write_blocked or not self.paused:
             return
         self.resume_frames()
-        if not self.paused and self.reads_paused:
+        if not self.paused:
+            self._resume_reading()
+
+    def _resume_reading(self) -> None:
+        """Read the socket again: only input can bring progress now."""
+        if self.reads_paused:
             self.reads_paused = False
             self.transport.resumeProducing()
 
@@ -144,6 +149,7 @@
             self.context.clock.soon(self.advance)
         else:
             self.paused = False
+            self._resume_reading()
 
     def _reply_frame(self, message: Message, body: bytes) -> bytes:
         self.last_reply_id = codec.next_request_id(self.last_reply_id)
--- a/tests/test_mongodb_client.py
+++ b/tests/test_mongodb_client.py
@@ -6,7 +6,7 @@
 
 import bson
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from sedgepitch.protocols.mongodb import codec
@@ -138,6 +138,74 @@
     assert len(replies(transport)) == before + 11 - (before == 3)
 
 
+def upload(number: int, size: int) -> bytes:
+    """Return an insert of about `size` bytes, or a ping, which is answered at once, for 0."""
+    documents = [{"_id": number, "value": "x" * size}]
+    return command(number, insert="readings", documents=documents) if size else command(number, ping=1)
+
+
+class PipeliningClient:
+    """A client that keeps up to `window` commands without a reply, and writes the next one after each reply.
+
+    The proxy reads its socket only while reading is not paused.
+    """
+
+    def __init__(self, sizes: list[int], window: int, read_bytes: int) -> None:
+        self.proxy = MongodbProxy()
+        self.connection, self.transport = self.proxy.client()
+        self.unwritten = [upload(number, size) for number, size in enumerate(sizes, 1)]
+        self.count = len(sizes)
+        self.window = window
+        self.read_bytes = read_bytes
+        self.unread = b""
+        self.answered = 0
+
+    def write(self) -> bool:
+        """Write the next command if the window permits it; return whether one was written."""
+        written = self.count - len(self.unwritten)
+        if not self.unwritten or written - len(replies(self.transport)) >= self.window:
+            return False
+        self.unread += self.unwritten.pop(0)
+        return True
+
+    def read(self) -> bool:
+        """Have the proxy read once; return whether it did."""
+        if self.transport.producerState != "producing" or not self.unread:
+            return False
+        data, self.unread = self.unread[: self.read_bytes], self.unread[self.read_bytes :]
+        self.connection.dataReceived(data)
+        self.proxy.turn()
+        return True
+
+    def answer(self) -> bool:
+        """Complete the executing command; return whether there was one."""
+        if len(self.proxy.endpoints.sent) == self.answered:
+            return False
+        self.proxy.endpoints.sent[self.answered].answer()
+        self.answered += 1
+        self.proxy.turn(times=2 * self.count + 2)
+        return True
+
+
+# Guards against a pause of reading that outlasts the last buffered command: its client was never read again.
+@given(
+    sizes=st.lists(st.sampled_from((0, 1_000, 150_000, 300_000)), min_size=1, max_size=8),
+    window=st.integers(1, 8),
+    read_bytes=st.sampled_from((16 * 1024, 64 * 1024)),
+    order=st.randoms(),
+)
+@example(sizes=[1_000, 300_000, 0], window=2, read_bytes=64 * 1024, order=None)
+def test_every_pipelined_command_gets_its_reply_in_any_order_of_events(sizes, window, read_bytes, order):
+    client = PipeliningClient(sizes, window, read_bytes)
+    steps = [client.write, client.read, client.answer]
+    while len(replies(client.transport)) < len(sizes):
+        if order is not None:
+            order.shuffle(steps)
+        assert any(step() for step in steps), "the socket is not read, and no command is executing"
+    assert client.transport.producerState == "producing"
+    assert [number for number, _ in replies(client.transport)] == list(range(1, len(sizes) + 1))
+
+
 def test_rejected_and_failed_replies_have_the_code_and_labels_of_their_meaning():
     proxy = MongodbProxy()
     connection, transport = proxy.client()
