A shutdown counts from the last activity of the event loop before the signal

A process that is suspended for 0.08 s around SIGTERM was in a third of the restarts still there at the platform's earliest kill and lost up to 29 requests at it; on the first restart lost 24.

Cause: nothing tells when a signal was sent. The check that looked for a stalled loop runs each 0.1 s with 0.02 s of tolerance, so a suspension of up to 0.12 s that falls between two checks was not seen, and the schedule, which leaves 0.06 s before the kill, began late by it.

Evidence: the failing restart logged requested_ago_ms=0 after a suspension of 80 ms; a suspension of 20 ms is never seen.

Change: a signal was sent after the last time at which the loop ran before the handler, since it would have been handled otherwise. The loop notes that time on each input and each 0.1 s, and the signal handler reads it before other code can run after a suspension.

--- a/sedgepitch/decisions/connections/shutdown_schedule.py
+++ b/sedgepitch/decisions/connections/shutdown_schedule.py
@@ -30,16 +30,18 @@
 class ShutdownSchedule:
     """The times of one shutdown, in seconds of the clock of `requested_at`.
 
+    The shutdown was requested at `requested_at` or later, and at `noticed_at` at the latest: the process must
+    have exited in time for the former, and new connections may arrive for a while after the latter.
     `longest_deadline` is the longest request deadline of all classes, in seconds.
     """
 
     __slots__ = ("accept_until", "close_idle_from", "drain_deadline", "exit_deadline")
 
-    def __init__(self, requested_at: float, longest_deadline: float) -> None:
+    def __init__(self, requested_at: float, longest_deadline: float, noticed_at: float | None = None) -> None:
         killed_at = requested_at + min(longest_deadline, MAX_DEADLINE_S) + KILL_MARGIN_S
-        accept_for = min(NEW_CONNECTIONS_S, killed_at - requested_at - CLOSE_IDLE_BEFORE_KILL_S)
-        self.accept_until = requested_at + accept_for
         self.close_idle_from = killed_at - CLOSE_IDLE_BEFORE_KILL_S
+        latest_request = requested_at if noticed_at is None else noticed_at
+        self.accept_until = min(latest_request + NEW_CONNECTIONS_S, self.close_idle_from)
         self.drain_deadline = killed_at - DRAIN_BEFORE_KILL_S
         self.exit_deadline = killed_at - EXIT_BEFORE_KILL_S
 
--- a/sedgepitch/node/__main__.py
+++ b/sedgepitch/node/__main__.py
@@ -77,7 +77,7 @@
     if signals.shutdown_requested:
         return EXIT_OK  # nothing has been accepted yet
     proxy.start(bind_failed)
-    signals.deliver_to(lambda number: reactor.callFromThread(actions.handle, number))
+    signals.deliver_to(actions.receive)
     gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
--- a/sedgepitch/node/proxy.py
+++ b/sedgepitch/node/proxy.py
@@ -188,16 +188,15 @@
         if ignored:
             self.log.log_event("reload.ignored", fields=",".join(ignored), reason="they take a restart")
 
-    def stop(self, on_stopped: Callable[[], None]) -> None:
+    def stop(self, on_stopped: Callable[[], None], requested_at: float) -> None:
         """Shut down gracefully; `on_stopped` is called once the schedule allows the process to exit.
 
         The platform's kill timeout starts when it sends the signal, possibly while the process is suspended.
-        The schedule therefore counts from the last time the event loop ran before a suspension.
+        The schedule therefore counts from `requested_at`, the earliest time at which it can have been sent.
         """
         longest_deadline = max(c.deadline for c in self.config.settings.classes)
         now = self.clock.now()
-        requested_at = self.clients.stall.running_since(now)
-        schedule = ShutdownSchedule(requested_at, longest_deadline)
+        schedule = ShutdownSchedule(requested_at, longest_deadline, noticed_at=now)
         if self.port_binding is not None:
             self.port_binding.cancel()
         self.log.log_event(
--- a/sedgepitch/node/signal_actions.py
+++ b/sedgepitch/node/signal_actions.py
@@ -30,14 +30,26 @@
         self._stopping = False
         self._reload_number = 0
 
-    def handle(self, number: int) -> None:
-        """Reload on SIGHUP; shut down on any other signal, ignoring repeated ones."""
+    def receive(self, number: int) -> None:
+        """Queue a signal for the reactor thread; called by the signal handler itself.
+
+        The handler runs before anything else does after a suspension, so the last activity of the event loop
+        is still that from before it.
+        """
+        sent_after = self._proxy.clients.loop_activity.last_ran_at
+        self._reactor.callFromThread(self.handle, number, sent_after)
+
+    def handle(self, number: int, sent_after: float) -> None:
+        """Reload on SIGHUP; shut down on any other signal, ignoring repeated ones.
+
+        `sent_after` is the earliest time at which the signal can have been sent.
+        """
         if number == signal.SIGHUP:
             self._reload_number += 1
             self._reload(self._reload_number, attempt=1)
         elif not self._stopping:
             self._stopping = True
-            self._proxy.stop(self._reactor.stop)
+            self._proxy.stop(self._reactor.stop, sent_after)
 
     def _reload(self, reload_number: int, attempt: int) -> None:
         """Reload the configuration file, retrying after RELOAD_RETRY_S while it is invalid."""
--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -71,12 +71,13 @@
         if self.state is ClientState.CLOSING:
             self._discard_input(data)
             return
+        now = listener.clock.now()
+        listener.loop_activity.ran(now)
         arrived = arrival_time(self.transport)
         if arrived and not self.reads_paused:
-            now = listener.clock.now()
             listener.engine.record_wait(self.transport.read_delay(now), now)
         if not self.reader.buffered_bytes:
-            self.message_started_at = arrived or listener.clock.now()
+            self.message_started_at = arrived or now
             listener.activity.bytes_received(self)
         self.reader.feed(data)
         self.advance()
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -9,7 +9,7 @@
 from sedgepitch.core.types import NEVER, Clock
 from sedgepitch.decisions.connections.client_connections import ClientConnections
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
-from sedgepitch.decisions.connections.loop_stall import LoopStall
+from sedgepitch.decisions.connections.loop_activity import LoopActivity
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.net import socket_state
 from sedgepitch.protocols.postgresql.close_reasons import CloseLog, CloseReason
@@ -58,14 +58,14 @@
         self.disconnects_found_late = 0  # clients found disconnected when their statement was about to run
         self.close_idle_from = NEVER  # connections without a request are closed from this time on
         self.answer_by = NEVER  # no request is pending after this time, when the process ends
-        self.stall = LoopStall(CHECK_INTERVAL_S, clock.now())
+        self.loop_activity = LoopActivity(clock.now())
         clock.call_later(CHECK_INTERVAL_S, self._check_due)
 
     # Periodic check
 
     def _check_due(self) -> None:
         now = self.clock.now()
-        self.stall.checked(now)
+        self.loop_activity.ran(now)
         self.clock.after_reading(self._check, now)
 
     def _check(self, at: float) -> None:
--- a/tests/support/faulty_nodes.py
+++ b/tests/support/faulty_nodes.py
@@ -40,9 +40,9 @@
     """Ignore every SIGHUP but the first."""
     handle = SignalActions.handle
 
-    def handle_first(self: SignalActions, number: int) -> None:
+    def handle_first(self: SignalActions, number: int, sent_after: float) -> None:
         if number != signal.SIGHUP or not self._reload_number:
-            handle(self, number)
+            handle(self, number, sent_after)
 
     SignalActions.handle = handle_first
 
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -261,6 +261,12 @@
         assert self.process is not None
         self.process.send_signal(number)
 
+    def is_suspended(self) -> bool:
+        """Return whether the process is stopped by a signal."""
+        assert self.process is not None
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text()
+        return stat.rpartition(")")[2].split()[0] == "T"
+
     def end_process(self) -> None:
         """Kill the process if it runs."""
         if self.process is not None and self.process.poll() is None:
--- a/tests/test_event_races.py
+++ b/tests/test_event_races.py
@@ -236,6 +236,20 @@
     assert not schedule.may_exit(100.1, listening=True, connections=0, pending=0)
 
 
+@pytest.mark.parametrize("noticed_after", [0.0, 0.1, 0.4, 2.5, 9.0])
+def test_a_shutdown_noticed_late_accepts_connections_for_as_long_but_ends_no_later(noticed_after):
+    """New connections may arrive for 0.4 s after the request, which is between the two times."""
+    prompt = ShutdownSchedule(100.0, 3.0)
+    late = ShutdownSchedule(100.0, 3.0, noticed_at=100.0 + noticed_after)
+    assert late.accept_until >= min(100.0 + noticed_after + 0.4, late.close_idle_from)
+    assert late.accept_until <= late.close_idle_from
+    assert (late.close_idle_from, late.drain_deadline, late.exit_deadline) == (
+        prompt.close_idle_from,
+        prompt.drain_deadline,
+        prompt.exit_deadline,
+    )
+
+
 # Requests that wait for a pooled connection to an endpoint
 
 
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -244,6 +244,37 @@
     assert int(platform.wait_for(r"stopping .*requested_ago_ms=(\d+)")[1]) >= 2400
 
 
+# Guards against a suspension at SIGTERM that is too short to be noticed and delays the exit past the kill.
+@pytest.mark.parametrize("suspended_s", [0.02, 0.08, 0.11])
+def test_a_short_suspension_at_sigterm_does_not_delay_the_exit_past_the_kill(platform, suspended_s):
+    client = platform.client()
+    stopped = threading.Event()
+
+    def send_requests() -> None:
+        for number in range(1, 1_000_000):
+            try:
+                if stopped.is_set() or client.query(read_statement(number, d=2000))[0] == "closed":
+                    return
+            except OSError:
+                return
+
+    sender = threading.Thread(target=send_requests, daemon=True)
+    sender.start()
+    wait_until(lambda: any(endpoint.statements for endpoint in platform.endpoints))
+    platform.signal(signal.SIGSTOP)
+    wait_until(platform.is_suspended)
+    sent_at = time.monotonic()
+    platform.signal(signal.SIGTERM)
+    time.sleep(suspended_s)
+    platform.signal(signal.SIGCONT)
+    assert platform.process.wait(timeout=TIMEOUT_S) == 0
+    exited_after = time.monotonic() - sent_at
+    stopped.set()
+    sender.join(TIMEOUT_S)
+    assert int(platform.wait_for(r"stopping .*requested_ago_ms=(\d+)")[1]) >= 1000 * suspended_s
+    assert exited_after < 3.7, "s; the platform may kill the process from then on"
+
+
 def test_clients_that_send_during_a_shutdown_get_an_answer_or_a_close_for_each_request(platform):
     clients = [platform.client() for _ in range(8)]
     unanswered = []
