Late in a shutdown a connection is closed with its response

Clients that send their next request as soon as they have a response kept their connections for up to 0.3 s longer than the schedule says, some until the exit; at a late exit their requests are lost at the kill (24 of 30).

Cause: connections were closed by a check each 0.02 s alone, which leaves out those with a request in flight. Whether such a client was ever found idle was chance.

Evidence: 30 such clients, kill at 2.7 s: the last connection was closed between 2.38 and 2.65 s, up to two were open at the exit.

Change: from close_idle_from on a connection is closed in the same step as its response. One with further input (a buffered statement, half of one, unread bytes in the socket) is served first.

The four new test cases failed before.

--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -166,12 +166,18 @@
             self.listener.clock.soon(self._advance_if_open)
 
     def finish_statement(self) -> None:
-        """Leave EXECUTING after a response; pipelined statements are executed in a later event loop turn."""
+        """Leave EXECUTING after a response; pipelined statements are executed in a later event loop turn.
+
+        Late in a shutdown the connection is closed at once: a client may send its next request as soon as it
+        has the response, and would never be found idle by a periodic check.
+        """
         if self.reader.buffered_bytes:
             self.state = ClientState.YIELDING
             self.listener.clock.soon(self._end_yield)
-        else:
-            self.state = ClientState.READY
+            return
+        self.state = ClientState.READY
+        if self.listener.closes_idle_connections():
+            self.close_if_idle(last=False)
 
     def _end_yield(self) -> None:
         if self.state is not ClientState.YIELDING:
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -104,9 +104,14 @@
         self.close_idle_from = schedule.close_idle_from
         self.answer_by = schedule.drain_deadline
 
+    def closes_idle_connections(self) -> bool:
+        """Return whether `close_idle_from` has passed."""
+        return self.clock.now() >= self.close_idle_from
+
     def close_idle_connections(self) -> None:
         """Close connections without requests in flight once `close_idle_from` has passed."""
-        now = self.clock.now()
-        if now >= self.close_idle_from:
-            for connection in list(self.connections):
-                connection.close_if_idle(now >= self.answer_by)
+        if not self.closes_idle_connections():
+            return
+        last = self.clock.now() >= self.answer_by
+        for connection in list(self.connections):
+            connection.close_if_idle(last)
--- a/tests/test_event_races.py
+++ b/tests/test_event_races.py
@@ -209,6 +209,41 @@
     assert not proxy.engine.answered_by_last_guard
 
 
+# Guards against clients that are never found idle by the periodic check, and keep the process until its exit.
+def test_late_in_a_shutdown_a_connection_is_closed_with_its_response():
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client()
+    connection.dataReceived(read(1, d="9000"))
+    proxy.turn()
+    proxy.listener.close_idle_from = proxy.clock.now()
+    proxy.endpoints.sent[0].on_end(AttemptOutcome(AttemptResult.OK, ROW))
+    assert wire.value() == ROW + codec.READY
+    assert wire.half_closed, "closed in the same step, before the client can send again"
+
+
+@pytest.mark.parametrize("unread", ["in the socket", "in the buffer", "half a statement"])
+def test_late_in_a_shutdown_a_connection_with_further_input_is_served_before_it_is_closed(unread):
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client()
+    client = connect_socket(wire)
+    connection.dataReceived(read(1, d="9000"))
+    proxy.turn()
+    proxy.listener.close_idle_from = proxy.clock.now()
+    following = read(2, d="9000")
+    buffered = {"in the socket": 0, "in the buffer": len(following), "half a statement": 40}[unread]
+    if buffered:
+        connection.dataReceived(following[:buffered])
+    client.sendall(following[buffered:])
+    proxy.answer(0)
+    assert not wire.half_closed
+    if rest := following[buffered:]:
+        connection.dataReceived(wire.socket.recv(len(rest)))
+    proxy.turn()
+    proxy.answer(1)
+    assert wire.half_closed and [kind for kind, _ in messages(wire.value())].count(b"Z") == 2
+    client.close()
+
+
 def test_a_long_pending_request_is_answered_by_the_drain_deadline():
     for make, sqlstate in ((read, "53300"), (write, statement_handler.SQLSTATE_FAILED)):
         proxy = PostgresqlProxy()
