--- a/sedgepitch/decisions/connections/shutdown_schedule.py
+++ b/sedgepitch/decisions/connections/shutdown_schedule.py
@@ -24,7 +24,7 @@
 KILL_MARGIN_S = 0.7
 CLOSE_IDLE_BEFORE_KILL_S = 0.35
 DRAIN_BEFORE_KILL_S = 0.15
-EXIT_BEFORE_KILL_S = 0.06  # to close the remaining client connections; dozens of them take half of it
+EXIT_BEFORE_KILL_S = 0.06  # for the exit itself, and to be scheduled for it on a busy machine
 
 
 class ShutdownSchedule:
--- a/sedgepitch/protocols/postgresql/read_ahead.py
+++ b/sedgepitch/protocols/postgresql/read_ahead.py
@@ -2,8 +2,8 @@
 
 Reading is paused only while the connection makes progress without input. It resumes once the buffer has
 drained, or once no complete message is left in it: a statement may be longer than what counts as drained,
-and its rest is still in the socket. A connection therefore buffers at most its limit, or one incomplete
-message if that is longer, plus one read.
+and its rest is still in the socket. A connection whose client reads its responses therefore buffers at most
+its limit, or one incomplete message if that is longer, plus one read.
 
 The end of a client's stream is queued behind all data that it has sent, so a disconnect is not seen while the
 kernel's buffers are full. A few clients therefore get a larger limit, so that their disconnects are noticed.
