--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,11 +23,12 @@
     write,
 )
 
-CLIENTS = 28
-AT_ONCE = 8  # commands that a client sends at once
+CLIENTS = 16
+AT_ONCE = 6  # commands that a client sends at once
 ROUNDS = 9  # times that it does, from SIGTERM on
 ROUND_S = 0.25
 COMMANDS = AT_ONCE * ROUNDS
+VALUE_BYTES = 4_000  # of each upload
 LONGEST_DEADLINE_S = 2.0
 KILL_S = LONGEST_DEADLINE_S + 0.7  # the earliest SIGKILL after SIGTERM
 AFTER_TERM_S = 0.75  # a command counts if it was sent this long after SIGTERM, and
@@ -42,13 +43,12 @@
         Member("s-3", "reader", record),
     ]
     agent = Agent("agent", record, members)
-    proxy = Proxy(record, settings(), {"cores": 0.5, "memory_mb": 96, "sockets": 256})
+    proxy = Proxy(record, settings())
     try:
         for part in (*members, agent):
             await part.start()
         proxy.configure(agent, members)
         await proxy.start()
-        proxy.share_core()
         await asyncio.sleep(1.0)
         clients = [await Client(proxy, record, f"c{n}").connect() for n in range(CLIENTS)]
         warm = await clients[0].ask(write("warm", "upload", 2000, "k-warm"))
@@ -74,7 +74,9 @@
                     return
                 first = len(sent[n])
                 ids = [f"{n:x}-{i:x}" for i in range(first, first + AT_ONCE)]
-                await clients[n].send(b"".join(query(write(i, "upload", 2000, f"k-{i}")) for i in ids))
+                await clients[n].send(
+                    b"".join(query(write(i, "upload", 2000, f"k-{i}", VALUE_BYTES)) for i in ids)
+                )
                 sent[n] += [time.monotonic()] * AT_ONCE
                 record(f"client c{n} sends {AT_ONCE} commands at once: id={ids[0]} to {ids[-1]}")
                 await asyncio.sleep(ROUND_S)
