A shutdown answers every statement that was read, also those that wait

Endpoints hang through a planned restart while 16 clients send several uploads at once; the process exits with code 0 and with 498 to 576 of 864 commands that it had read and not answered.

Cause: the exit asked for requests in the request table, and a statement that waits in its connection's buffer is not in it. And what waits at the drain deadline was executed one statement of a connection a turn, matched whole, submitted and rejected for lack of time: 0.8 ms each, with 90 ms left for all.

Evidence: a scratch copy that logs the state at each check of the shutdown: 16 connections executing and 6.77 MB buffered at the drain deadline, then none pending, all yielding and 5.75 MB buffered when may_exit became true. No socket was paused and no client write-blocked.

Change: from the drain deadline on, statements are rejected unexecuted as they are read, 256 a turn and connection, with one write. The exit waits for clients that read their responses and have a statement without answer, buffered or unread, until 20 ms before the kill. The periodic close spares a connection with a whole statement in its buffer.

--- a/sedgepitch/decisions/connections/shutdown_schedule.py
+++ b/sedgepitch/decisions/connections/shutdown_schedule.py
@@ -6,8 +6,10 @@
 shutdown requested      new connections are accepted and all requests served
 `accept_until`          connections in the backlog are accepted, then the port is closed
 `close_idle_from`       idle connections without unread bytes are closed, others after their response
-`drain_deadline`        requests that are still pending get their final answer
-`exit_deadline`         the process exits, even if clients still hold connections
+`drain_deadline`        requests that are still pending get their final answer; from now on statements are
+                        rejected as they are read, without being executed
+`exit_deadline`         the process exits, even if clients still hold connections, unless statements wait
+`last_exit`             the process exits, even if statements wait that have been read or lie unread
 ======================  ==================================================================================
 
 Requests are served that long because many clients have no other proxy instance to use. Connections are closed
@@ -25,6 +27,7 @@
 CLOSE_IDLE_BEFORE_KILL_S = 0.35
 DRAIN_BEFORE_KILL_S = 0.15
 EXIT_BEFORE_KILL_S = 0.06  # for the exit itself, and to be scheduled for it on a busy machine
+LAST_EXIT_BEFORE_KILL_S = 0.02
 
 
 class ShutdownSchedule:
@@ -35,7 +38,7 @@
     `longest_deadline` is the longest request deadline of all classes, in seconds.
     """
 
-    __slots__ = ("accept_until", "close_idle_from", "drain_deadline", "exit_deadline")
+    __slots__ = ("accept_until", "close_idle_from", "drain_deadline", "exit_deadline", "last_exit")
 
     def __init__(self, requested_at: float, longest_deadline: float, noticed_at: float | None = None) -> None:
         killed_at = requested_at + min(longest_deadline, MAX_DEADLINE_S) + KILL_MARGIN_S
@@ -44,13 +47,20 @@
         self.accept_until = min(latest_request + NEW_CONNECTIONS_S, self.close_idle_from)
         self.drain_deadline = killed_at - DRAIN_BEFORE_KILL_S
         self.exit_deadline = killed_at - EXIT_BEFORE_KILL_S
+        self.last_exit = killed_at - LAST_EXIT_BEFORE_KILL_S
 
-    def may_exit(self, now: float, *, listening: bool, connections: int, pending: int) -> bool:
+    def may_exit(
+        self, now: float, *, listening: bool, connections: int, pending: int, waiting: bool = False
+    ) -> bool:
         """Return whether the process may exit: never while requests are pending.
 
         Otherwise it may exit once the port and all connections are closed, or from `exit_deadline` on.
+        Statements of clients that are `waiting`, read or unread, hold the exit until `last_exit`: they are
+        rejected as fast as they are read, so only a client that keeps sending has any left by then.
         """
         if pending:
             return False
         all_closed = not listening and not connections
-        return all_closed or now >= self.exit_deadline
+        if all_closed or now >= self.last_exit:
+            return True
+        return now >= self.exit_deadline and not waiting
--- a/sedgepitch/node/runtime_statistics.py
+++ b/sedgepitch/node/runtime_statistics.py
@@ -36,6 +36,7 @@
     max_lag_ms: float
     rejected_for_load: int  # by this process
     rejected_for_lag: int
+    rejected_for_shutdown: int  # statements read after the drain deadline
     answered_early: int  # because of event loop lag
     overdue: int  # answered by the engine's last guard; above 0 indicates a defect
     callback_errors: int  # above 0 indicates a defect
@@ -77,6 +78,7 @@
         max_lag_ms=round(lag.longest * MS_PER_S, 1),
         rejected_for_load=engine.rejected_for_load,
         rejected_for_lag=engine.rejected_for_lag,
+        rejected_for_shutdown=clients.rejected_for_shutdown,
         answered_early=engine.answered_early,
         overdue=engine.answered_by_last_guard,
         callback_errors=engine.callbacks.errors,
--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -26,6 +26,7 @@
 
 DRAIN_BYTES_MAX = 256 * 1024  # read and discarded after an error, so that the error arrives
 DRAIN_TIME_MAX_S = 0.5
+REJECTIONS_PER_TURN = 256  # of one connection, late in a shutdown
 SQLSTATE_PROTOCOL_VIOLATION = "08P01"
 SQLSTATE_CANNOT_CONNECT_NOW = "57P03"
 
@@ -110,16 +111,39 @@
             self._start_up()
         if self.state is not ClientState.READY:
             return
+        if self.listener.rejects_statements():
+            self._reject_statements()
+            return
         message = self.reader.next()
         if message is None:
             return
-        kind, raw = message
-        if kind == codec.TERMINATE:
+        text = _statement_text(*message)
+        if text is None:
             self.end(CloseReason.TERMINATED)
             return
-        if raw[-1]:
-            raise MalformedMessage("a statement without its end")
-        self.listener.statements.execute(self, raw[codec.HEADER_BYTES : -1])
+        self.listener.statements.execute(self, text)
+
+    def _reject_statements(self) -> None:
+        """Reject the buffered statements, up to REJECTIONS_PER_TURN: the process exits soon.
+
+        Executing them one per event loop turn, only to reject each, would take longer than is left.
+        """
+        responses: list[bytes] = []
+        terminated = False
+        try:
+            while len(responses) < REJECTIONS_PER_TURN and (message := self.reader.next()) is not None:
+                text = _statement_text(*message)
+                if text is None:
+                    terminated = True
+                    break
+                responses.append(self.listener.statements.rejection(text))
+        finally:  # the next message may be malformed
+            if responses:
+                self.transport.write(b"".join(responses))
+        if terminated:
+            self.end(CloseReason.TERMINATED)
+        elif responses:
+            self.finish_statement()
 
     def _start_up(self) -> None:
         while (message := self.reader.startup()) is not None:
@@ -214,11 +238,11 @@
             self.end(CloseReason.INPUT_TIMEOUT, message)
 
     def close_if_idle(self, last: bool) -> None:
-        """Close for a shutdown unless a request is in flight or the socket has unread bytes.
+        """Close for a shutdown unless a statement has no answer yet or the socket has unread bytes.
 
         With `last`, also close if an incomplete message is buffered, as its rest will not be awaited.
         """
-        if self.state in BUSY_STATES or self.state is ClientState.CLOSING:
+        if self.state is ClientState.CLOSING or self._has_unanswered_statement():
             return
         if not socket_state.is_open_and_idle(self.transport):
             return
@@ -228,6 +252,18 @@
             message = codec.error(SQLSTATE_CANNOT_CONNECT_NOW, "this driver ends", fatal=True)
             self.end(CloseReason.SHUTDOWN, message)
 
+    def _has_unanswered_statement(self) -> bool:
+        """Return whether a statement was read, also one that is still buffered, and has no answer yet."""
+        if self.state in BUSY_STATES:
+            return True
+        return self.state is ClientState.READY and self.reader.has_complete_message
+
+    def has_waiting_statement(self) -> bool:
+        """Return whether the client, if it reads its responses, has sent a statement without an answer."""
+        if self.state is ClientState.CLOSING or self.write_blocked:
+            return False
+        return self._has_unanswered_statement() or not socket_state.is_open_and_idle(self.transport)
+
     def end(self, reason: CloseReason, last_message: bytes = b"") -> None:
         """Send the last message, discard input for up to DRAIN_TIME_MAX_S so that it arrives, and close."""
         listener = self.listener
@@ -293,6 +329,15 @@
             self.listener.engine.client_disconnected(request)
 
 
+def _statement_text(kind: bytes, raw: bytes) -> bytes | None:
+    """Return the text of a Query message, or None for Terminate; raises MalformedMessage."""
+    if kind == codec.TERMINATE:
+        return None
+    if raw[-1]:
+        raise MalformedMessage("a statement without its end")
+    return raw[codec.HEADER_BYTES : -1]
+
+
 class ClientFactory(NumberingFactory):
     """Builds the `ClientConnection` objects of a `ClientListener`."""
 
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -54,6 +54,7 @@
         self.accepted = 0
         self.bad_messages = 0
         self.bad_statements = 0
+        self.rejected_for_shutdown = 0  # statements read after the drain deadline
         self.disconnects_found_unread = 0  # clients found disconnected while their socket was paused
         self.disconnects_found_late = 0  # clients found disconnected when their statement was about to run
         self.close_idle_from = NEVER  # connections without a request are closed from this time on
@@ -108,10 +109,18 @@
         """Return whether `close_idle_from` has passed."""
         return self.clock.now() >= self.close_idle_from
 
+    def rejects_statements(self) -> bool:
+        """Return whether the drain deadline of a shutdown has passed: statements are no longer executed."""
+        return self.clock.now() >= self.answer_by
+
+    def has_waiting_statements(self) -> bool:
+        """Return whether a client that reads its responses waits for the answer to a statement."""
+        return any(connection.has_waiting_statement() for connection in self.connections)
+
     def close_idle_connections(self) -> None:
         """Close connections without requests in flight once `close_idle_from` has passed."""
         if not self.closes_idle_connections():
             return
-        last = self.clock.now() >= self.answer_by
+        last = self.rejects_statements()
         for connection in list(self.connections):
             connection.close_if_idle(last)
--- a/sedgepitch/protocols/postgresql/codec.py
+++ b/sedgepitch/protocols/postgresql/codec.py
@@ -94,6 +94,16 @@
         """Return how many bytes are buffered."""
         return self._held
 
+    @property
+    def has_complete_message(self) -> bool:
+        """Return whether `next` would return a message, or raise for a malformed one."""
+        if self._held < self._want:
+            return False
+        try:
+            return self._held > self._read_header()[1]
+        except MalformedMessage:
+            return True
+
     def discard(self) -> None:
         """Drop all buffered bytes; their connection has ended."""
         self._buffer = b""
@@ -124,22 +134,27 @@
         """
         if self._held < self._want:
             return None
-        data = self._join()
-        start = self._offset
-        kind, length = _HEADER.unpack_from(data, start)
-        length_max = self.bounds.get(kind)
-        if length_max is None:
-            raise MalformedMessage(f"message type {kind!r} is not served here")
-        if not LENGTH_BYTES <= length <= length_max:
-            raise MalformedMessage(f"message {kind!r} of {length} bytes, {length_max} at most")
+        kind, length = self._read_header()
         if self._held <= length:
             self._want = length + 1
             return None
         self._want = HEADER_BYTES
+        data = self._buffer
+        start = self._offset
         end = start + length + 1
         self._consume(end)
         return kind, data[start:end]
 
+    def _read_header(self) -> tuple[bytes, int]:
+        """Return type and length of the next message; raises MalformedMessage."""
+        kind, length = _HEADER.unpack_from(self._join(), self._offset)
+        length_max = self.bounds.get(kind)
+        if length_max is None:
+            raise MalformedMessage(f"message type {kind!r} is not served here")
+        if not LENGTH_BYTES <= length <= length_max:
+            raise MalformedMessage(f"message {kind!r} of {length} bytes, {length_max} at most")
+        return kind, length
+
     def startup(self) -> tuple[int, bytes] | None:
         """Return the code and body of the first message of a connection, or None until it is complete."""
         if self._held < STARTUP_HEADER_BYTES:
--- a/sedgepitch/protocols/postgresql/statement_handler.py
+++ b/sedgepitch/protocols/postgresql/statement_handler.py
@@ -7,6 +7,7 @@
 
 from typing import TYPE_CHECKING
 
+from sedgepitch.core import reasons
 from sedgepitch.core.types import ClientRequest, Response, ResponseStatus
 from sedgepitch.net import socket_state
 from sedgepitch.protocols.postgresql import codec, statements
@@ -24,6 +25,7 @@
 SQLSTATE_REJECTED = "53300"  # too_many_connections: nothing ran, the client may retry
 SQLSTATE_FAILED = "58000"  # system_error: the statement may have run
 SQLSTATE_DUPLICATE_ID = "42710"  # duplicate_object
+SHUTDOWN_REJECTION = codec.error(SQLSTATE_REJECTED, reasons.STOPPING) + codec.READY
 SESSION_FRESHNESS = (Freshness.WRITE, Freshness.SESSION)  # classes whose requests name their session
 
 
@@ -55,6 +57,13 @@
             return
         self._submit(connection, statement)
 
+    def rejection(self, text: bytes) -> bytes:
+        """Return the response to a statement that is not executed, because the process exits soon."""
+        if not text.strip(EMPTY_STATEMENT_CHARS):
+            return codec.EMPTY
+        self._listener.rejected_for_shutdown += 1
+        return SHUTDOWN_REJECTION
+
     def _is_id_free(self, request_id: bytes) -> bool:
         """Return whether no open request has this id.
 
