The shutdown checks for its exit at the exit deadline itself

Cause: the check runs each 20 ms, so the exit began up to 20 ms after the exit deadline, of the 60 ms that are kept for it.

Change: the check is made at the exit deadline and at the last exit; the last exit, which only waiting statements can reach, is 40 ms before the kill, not 20.

Result: the new test and the tightened one for a client that does not read failed before (10 and 20 ms late), pass now; 87 tests of the shutdown pass.

--- a/sedgepitch/decisions/connections/shutdown_schedule.py
+++ b/sedgepitch/decisions/connections/shutdown_schedule.py
@@ -27,7 +27,7 @@
 CLOSE_IDLE_BEFORE_KILL_S = 0.35
 DRAIN_BEFORE_KILL_S = 0.15
 EXIT_BEFORE_KILL_S = 0.06  # for the exit itself, and to be scheduled for it on a busy machine
-LAST_EXIT_BEFORE_KILL_S = 0.02
+LAST_EXIT_BEFORE_KILL_S = 0.04
 
 
 class ShutdownSchedule:
--- a/sedgepitch/node/graceful_shutdown.py
+++ b/sedgepitch/node/graceful_shutdown.py
@@ -53,7 +53,12 @@
         if may_exit:
             self._on_drained()
         else:
-            self._clock.call_later(CHECK_INTERVAL_S, self._check)
+            self._clock.call_later(self._until_next_check(now), self._check)
+
+    def _until_next_check(self, now: float) -> float:
+        """Return the check interval in seconds, cut short at a time from which the process may exit."""
+        exits = (self._schedule.exit_deadline, self._schedule.last_exit)
+        return min([CHECK_INTERVAL_S, *(exit_at - now for exit_at in exits if exit_at > now)])
 
     def _close_port(self, now: float) -> None:
         """Accept the backlog and close the port.
--- a/tests/test_shutdown_backlog.py
+++ b/tests/test_shutdown_backlog.py
@@ -136,12 +136,24 @@
     connection.on_write_blocked()
     shutdown = Shutdown(proxy)
     shutdown.run()
-    assert shutdown.finished[0] == pytest.approx(shutdown.schedule.exit_deadline, abs=0.021)
+    assert shutdown.finished[0] == pytest.approx(shutdown.schedule.exit_deadline, abs=0.006)
     assert (
         ready_count(wire) <= 1 and not wire.half_closed
     ), "nothing that it has sent is dropped before the exit"
 
 
+def test_the_process_exits_at_the_exit_deadline_itself_and_not_at_a_later_check():
+    # Guards against an exit that is late by a check interval, close to the kill.
+    proxy = PostgresqlProxy()
+    proxy.client()[0].on_write_blocked()
+    proxy.listener.close_idle_connections = lambda: None
+    proxy.turn(0.0037)
+    shutdown = Shutdown(proxy)
+    while not shutdown.finished and proxy.clock.now() < shutdown.kill_at:
+        proxy.turn(0.001, 1)
+    assert shutdown.finished[0] == pytest.approx(shutdown.schedule.exit_deadline, abs=0.0015)
+
+
 def test_a_client_that_never_stops_sending_holds_the_exit_until_the_last_moment_only():
     proxy = PostgresqlProxy()
     connection, _ = proxy.client()
