A stopping MongoDB daemon replies to every command that it has read

Callers: a client that has sent several commands at once when the daemon is stopped gets the reply to the pending one, and the connection closes with the rest read and not answered.

Cause: ProxyDaemon._stop_when_drained asked for requests in the request table; a command that waits in its connection's buffer is not in it.

Change: the stop waits, within limits.stop_within as before, while a client that reads its replies has a command without one. An awaitable hello does not count.

Not covered: commands that lie unread in a socket while the daemon has nothing else to do.

--- a/sedgepitch/cli/daemon.py
+++ b/sedgepitch/cli/daemon.py
@@ -211,7 +211,7 @@
     def stop(self, on_stopped: Callable[[], None]) -> None:
         """Close the ports, answer pending requests, close all connections, and call back.
 
-        Waits at most `limits.stop_within` for pending requests.
+        Waits at most `limits.stop_within` for pending requests and for commands that wait behind them.
         """
         self.engine.stopping = True
         if self.zones is not None:
@@ -224,8 +224,8 @@
         self._stop_when_drained(self.clock.now() + self.settings.limits.stop_within, on_stopped)
 
     def _stop_when_drained(self, drain_deadline: float, on_stopped: Callable[[], None]) -> None:
-        pending = self.engine.request_table.pending
-        if pending and self.clock.now() < drain_deadline:
+        waiting = self.engine.request_table.pending or self.context.has_waiting_commands()
+        if waiting and self.clock.now() < drain_deadline:
             self.clock.call_later(
                 SHUTDOWN_CHECK_INTERVAL_S, self._stop_when_drained, drain_deadline, on_stopped
             )
--- a/sedgepitch/protocols/mongodb/client.py
+++ b/sedgepitch/protocols/mongodb/client.py
@@ -162,6 +162,13 @@
 
     # Closing
 
+    def has_waiting_command(self) -> bool:
+        """Return whether a command was read, also one that is still buffered, and has no reply yet.
+
+        An awaitable hello does not count, nor do commands of a client that does not read its replies.
+        """
+        return self.paused and not self.write_blocked and self.awaited_hello is None
+
     def length_refused(self, length: int) -> None:
         """Close the connection on a frame length out of bounds: the start of the next frame is unknown."""
         self.context.log_event("client.bad_frame", connection=self.number, reason=f"length {length}")
--- a/sedgepitch/protocols/mongodb/client_context.py
+++ b/sedgepitch/protocols/mongodb/client_context.py
@@ -53,3 +53,7 @@
         """Create the handlers that all connections share."""
         self.command_handler = CommandHandler(self)
         self.cursor_handler = CursorHandler(self)
+
+    def has_waiting_commands(self) -> bool:
+        """Return whether a client that reads its replies waits for one."""
+        return any(connection.has_waiting_command() for connection in self.connections)
--- a/tests/support/mongodb_harness.py
+++ b/tests/support/mongodb_harness.py
@@ -123,7 +123,12 @@
 
 def replies(transport: StringTransport) -> list[tuple[int, dict]]:
     """Return the replies sent to the client, each as (response_to, document)."""
-    data, out = transport.value(), []
+    return split_replies(transport.value())
+
+
+def split_replies(data: bytes) -> list[tuple[int, dict]]:
+    """Return the replies in a byte stream, each as (response_to, document)."""
+    out = []
     while data:
         length = int.from_bytes(data[:4], "little")
         message = codec.parse(data[:length])
--- a/tests/test_shutdown_backlog.py
+++ b/tests/test_shutdown_backlog.py
@@ -6,6 +6,7 @@
 import threading
 import time
 
+import bson
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -15,10 +16,12 @@
 from sedgepitch.protocols.postgresql import codec
 from sedgepitch.protocols.postgresql.client import REJECTIONS_PER_TURN
 from sedgepitch.protocols.postgresql.codec import MalformedMessage, Reader
+from tests.support.mongodb_harness import MongodbProxy, command, replies, split_replies
 from tests.support.platform import SETTINGS, TIMEOUT_S, Client, Platform, upload_statement
 from tests.support.postgresql_harness import PostgresqlProxy, errors, messages, read
 from tests.support.router_harness import SETTINGS as ROUTER_SETTINGS
 from tests.test_event_races import connect_socket
+from tests.test_sockets import connect, insert
 
 LONGEST_DEADLINE_S = max(c.deadline for c in ROUTER_SETTINGS.classes)
 KILL_AFTER_DEADLINE_S = 0.7
@@ -270,3 +273,51 @@
     finally:
         release.set()
         platform.close()
+
+
+# The MongoDB daemon
+
+
+def test_a_stopping_daemon_replies_to_every_command_that_it_has_read(rough):
+    # Guards against connections that are closed while commands wait in them behind a pending one.
+    rough.driver("one")
+    commands = 400
+    with connect(rough) as connection:
+        assert insert(connection, "first")["ok"] == 1
+        rough.fault("slow", factor=1000)  # the first write takes half a second or more
+        connection.sendall(
+            b"".join(
+                command(n, insert="log", documents=[{"_id": n}], comment={"rid": f"r{n}"}, maxTimeMS=2000)
+                for n in range(1, commands + 1)
+            )
+        )
+        time.sleep(0.3)  # the daemon reads all of them
+        rough.drivers["one"].process.terminate()
+        received = b"".join(iter(lambda: connection.recv(65536), b""))
+    assert [number for number, _ in split_replies(received)] == list(range(1, commands + 1))
+    assert rough.drivers["one"].process.wait(timeout=TIMEOUT_S) == 0
+
+
+def test_a_mongodb_command_waits_until_its_reply_unless_its_client_does_not_read():
+    proxy = MongodbProxy()
+    connection, transport = proxy.client()
+    assert not proxy.context.has_waiting_commands()
+    connection.dataReceived(b"".join(command(n, find="log", filter={}) for n in (1, 2)))
+    assert proxy.context.has_waiting_commands()
+    connection.on_write_blocked()
+    assert not proxy.context.has_waiting_commands(), "its replies could not be delivered"
+    connection.on_write_drained()
+    for _ in range(2):
+        proxy.turn(0.01)
+        assert proxy.context.has_waiting_commands()
+        proxy.endpoints.sent.pop().answer({"cursor": {"id": 0, "ns": "sky.log", "firstBatch": []}})
+        proxy.turn()
+    assert len(replies(transport)) == 2 and not proxy.context.has_waiting_commands()
+
+
+def test_an_awaitable_hello_does_not_hold_a_stop():
+    proxy = MongodbProxy()
+    connection, _ = proxy.client()
+    topology = {"processId": proxy.context.process_id, "counter": bson.Int64(0)}
+    connection.dataReceived(command(1, hello=1, topologyVersion=topology, maxAwaitTimeMS=10_000))
+    assert connection.awaited_hello is not None and not proxy.context.has_waiting_commands()
