A connection whose statement waits its turn is neither idle nor timed out

Cause: after a statement that is answered at once, the connection yields with the next one buffered, but stays in the table of idle connections or of those that have sent part of a message.

Change: a connection that yields is recorded like one with a request in flight.

--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -197,6 +197,7 @@
         """
         if self.reader.buffered_bytes:
             self.state = ClientState.YIELDING
+            self.listener.activity.request_started(self)  # neither idle nor slow while it waits its turn
             self.listener.clock.soon(self._end_yield)
             return
         self.state = ClientState.READY
--- a/tests/test_shutdown_backlog.py
+++ b/tests/test_shutdown_backlog.py
@@ -219,6 +219,31 @@
                 return
 
 
+@pytest.mark.parametrize("ahead", [b"", b"DROP TABLE entries"], ids=["empty query", "unsupported statement"])
+@pytest.mark.parametrize("closed_by", ["eviction", "shortage", "timeout"])
+def test_a_statement_that_waits_its_turn_behind_one_answered_at_once_is_not_closed_unanswered(
+    ahead, closed_by
+):
+    # Guards against a connection that counts as idle, or as slow, while a statement waits in its buffer.
+    proxy = PostgresqlProxy(sockets=40)
+    connection, wire = proxy.client()
+    connection.dataReceived(codec.query(b""))
+    proxy.turn()
+    connection.dataReceived(codec.query(ahead) + read(1))  # the read's turn is the next one
+    later = proxy.clock.now() + 10.0
+    if closed_by == "eviction":
+        newcomer, _ = proxy.client(greet=False)
+        assert proxy.listener.evict_for(newcomer, proxy.clock.now()) is newcomer
+    elif closed_by == "shortage":
+        proxy.listener.free_descriptor()
+    else:
+        assert connection not in proxy.listener.activity.remove_timed_out(later)
+    assert not wire.half_closed and not wire.aborted
+    proxy.turn()
+    proxy.answer(0)
+    assert [kind for kind, _ in messages(wire.value())].count(codec.DATA_ROW) == 1
+
+
 class Uploader:
     """A client that sends several uploads at once, again and again, and counts its responses."""
 
