Incomplete replies of all endpoints together have a bound

Cause: one row has a bound, connections have one, and the sum of what they hold had none.

Change: a receive budget, an eighth of the process's memory and 4 MiB at least. Endpoint connections report what they hold of an incomplete reply when it changes; over the budget the one that holds the most is given up as malformed, so ordinary replies are not touched while longer ones are there.

The MongoDB daemon, which has no memory limit in its settings, has no such budget.

--- a/sedgepitch/node/proxy.py
+++ b/sedgepitch/node/proxy.py
@@ -9,6 +9,7 @@
 from sedgepitch.core.connection_pool import PoolLimits
 from sedgepitch.core.engine import Engine
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
+from sedgepitch.decisions.connections.receive_budget import ReceiveBudget
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.decisions.discovery.list_versions import EndpointListVersions, ListVersion
 from sedgepitch.discovery.client import DiscoveryClient
@@ -35,6 +36,7 @@
 ACCEPTS_PER_TURN = 16
 STATISTICS_INTERVAL_S = 5.0
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1_000_000
 TRACE_STATISTICS_INTERVAL_S = 0.5  # while tracing is on
 # Fields of NodeConfig that a reload ignores; changes to them are logged.
 FIXED_FIELDS = ("name", "listen", "cores", "memory", "sockets", "settings", "connect_within", "idle_for")
@@ -95,6 +97,7 @@
             self.descriptors,
             unix_offset,
             health_check_timeout=self.config.connect_within,
+            receive_budget=ReceiveBudget(self.config.memory * BYTES_PER_MB),
         )
         upstream.on_bytes_arrived = self._bytes_arrived
         upstream.on_endpoint_removed = self._endpoint_removed
--- a/sedgepitch/protocols/postgresql/endpoint_connection.py
+++ b/sedgepitch/protocols/postgresql/endpoint_connection.py
@@ -14,6 +14,7 @@
 from twisted.python.failure import Failure
 
 from sedgepitch.net import socket_state
+from sedgepitch.protocols.common.callbacks import ignore
 from sedgepitch.protocols.common.transports import arrival_time, unsent_bytes
 from sedgepitch.protocols.postgresql import codec
 from sedgepitch.protocols.postgresql.codec import MalformedMessage, Reader
@@ -65,6 +66,7 @@
     failed: Callable[[str], None]
     lost: Callable[[str], None]
     bytes_arrived: Callable[[float], None]  # receives the arrival time in monotonic s, 0 if unknown
+    held_bytes_changed: Callable[[EndpointConnection, int], None] = ignore  # with the bytes held now
 
 
 class EndpointConnection(TwistedProtocol):
@@ -83,6 +85,7 @@
         self.on_reply: Callable[[Reply], None] | None = None
         self.reply: Reply | None = None
         self.startup_messages = 0
+        self.held_bytes = 0  # of an incomplete reply, as last reported
         self.close_reason = ""
         self.uses = 0
         self.trace: Callable[..., None] | None = None
@@ -137,6 +140,16 @@
                 self._read_message(message[0], message[1], arrived)
         except MalformedMessage as error:
             self._malformed(str(error), arrived)
+        self._report_held_bytes()
+
+    def _report_held_bytes(self) -> None:
+        """Report how many bytes of an incomplete reply are held, if that has changed."""
+        held_bytes = 0
+        if not self.broken:
+            held_bytes = self.reader.buffered_bytes + (self.reply.held_bytes if self.reply else 0)
+        if held_bytes != self.held_bytes:
+            self.held_bytes = held_bytes
+            self.callbacks.held_bytes_changed(self, held_bytes)
 
     def _read_message(self, kind: bytes, raw: bytes, arrived: float) -> None:
         if not self.startup_complete:
@@ -203,6 +216,11 @@
 
     # Closing
 
+    def give_up_reply(self, why: str) -> None:
+        """Close the connection because of what has arrived; a reply whose row is complete is delivered."""
+        self._malformed(why, arrival_time(self.transport))
+        self._report_held_bytes()
+
     def _abort(self, why: str) -> None:
         self.close_reason = self.close_reason or why
         self.broken = True
@@ -210,7 +228,9 @@
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Report the loss, after delivering a reply that already holds an error or a complete row."""
+        self.broken = True
         self.reader.discard()
+        self._report_held_bytes()
         why = self.close_reason or reason.getErrorMessage()
         if self.trace is not None:
             self.trace("ended", why=why, uses=self.uses, busy=self.reply is not None)
@@ -219,7 +239,6 @@
             return
         reply, self.reply = self.reply, None
         if reply is not None and reply.is_final:
-            self.broken = True
             self._finish(reply, arrival_time(self.transport))
         self.on_reply = None
         self.callbacks.lost(why)
--- a/sedgepitch/protocols/postgresql/reply.py
+++ b/sedgepitch/protocols/postgresql/reply.py
@@ -34,6 +34,7 @@
     load_report: bytes = b""  # as reported by the endpoint, not parsed
     messages: list[bytes] = field(default_factory=list)  # raw messages of the row so far
     notices: int = 0
+    held_bytes: int = 0  # of messages and row
 
     @property
     def has_row(self) -> bool:
@@ -85,6 +86,7 @@
         elif raw[-1]:
             raise MalformedMessage("a completion without its end")
         self.messages.append(raw)
+        self.held_bytes += len(raw) + (len(self.row) if self.row and kind == codec.DATA_ROW else 0)
 
     def finish(self, arrived: float) -> None:
         """Complete the reply; `arrived` is the arrival time of its last bytes."""
--- a/sedgepitch/protocols/postgresql/upstream.py
+++ b/sedgepitch/protocols/postgresql/upstream.py
@@ -8,6 +8,7 @@
 
 from sedgepitch.core.connection_pool import ConnectionBudget, ConnectionPool, PoolLimits
 from sedgepitch.core.types import NEVER, AttemptCallback, AttemptHandle, AttemptOutcome, Clock
+from sedgepitch.decisions.connections.receive_budget import ReceiveBudget
 from sedgepitch.net.connecting import OutgoingConnection
 from sedgepitch.net.twisted_types import Reactor
 from sedgepitch.protocols.common.callbacks import ignore
@@ -24,6 +25,7 @@
 from sedgepitch.settings import translate_load_report
 
 IDLE_CHECK_INTERVAL_S = 1.0
+RECEIVE_BUDGET_EXCEEDED = "too many bytes of incomplete answers"
 CONNECT_GRACE_S = 1.0  # added to the connect timeout of the pool, so that the pool times out first
 
 
@@ -53,6 +55,7 @@
         unix_offset: float,
         health_check_timeout: float,
         names: SessionNames | None = None,
+        receive_budget: ReceiveBudget[EndpointConnection] | None = None,
     ) -> None:
         """Start without endpoints; `update_endpoints` creates their pools."""
         self.reactor = reactor
@@ -62,6 +65,7 @@
         self.unix_offset = unix_offset
         self.health_check_timeout = health_check_timeout
         self.names = names or SessionNames()
+        self.receive_budget = receive_budget or ReceiveBudget(memory_bytes=0)
         self.addresses: Mapping[int, tuple[str, int]] = {}
         self.pools: dict[int, EndpointPool] = {}
         self.on_bytes_arrived: Callable[[float], None] = ignore
@@ -159,7 +163,9 @@
         def connect(
             ready: Callable[[Any], None], failed: Callable[[str], None], lost: Callable[[str], None]
         ) -> Callable[[], None]:
-            callbacks = ConnectionCallbacks(ready, failed, lost, self.on_bytes_arrived)
+            callbacks = ConnectionCallbacks(
+                ready, failed, lost, self.on_bytes_arrived, self._held_bytes_changed
+            )
             return self._open_connection(endpoint, address, callbacks)
 
         return ConnectionPool(
@@ -188,6 +194,12 @@
 
         return cancel
 
+    def _held_bytes_changed(self, connection: EndpointConnection, held_bytes: int) -> None:
+        """Keep to the receive budget: give up the reply of which most is held, if the sum is too large."""
+        largest = self.receive_budget.update(connection, held_bytes)
+        if largest is not None:
+            largest.give_up_reply(RECEIVE_BUDGET_EXCEEDED)
+
     def outcome(self, endpoint: int, payload: Payload, reply: Reply) -> AttemptOutcome:
         """Return the outcome of an attempt, with the load report of the endpoint if the reply has one."""
         if reply.malformed:
