Shutdown: sockets are asked for unread statements from the exit deadline on only

Cause: each check of a shutdown, 20 ms apart for up to 3.6 s, asked every idle connection's socket, though the answer counts from the exit deadline on. Change: it is asked from then on.

--- a/sedgepitch/node/graceful_shutdown.py
+++ b/sedgepitch/node/graceful_shutdown.py
@@ -48,7 +48,7 @@
             listening=self._port is not None,
             connections=len(self._clients.connections),
             pending=self._engine.request_table.pending,
-            waiting=self._clients.has_waiting_statements(),
+            waiting=now >= self._schedule.exit_deadline and self._clients.has_waiting_statements(),
         )
         if may_exit:
             self._on_drained()
--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -93,7 +93,10 @@
     # Messages
 
     def advance(self) -> None:
-        """Execute one buffered message per event loop turn, so that pipelining delays no other client."""
+        """Execute one buffered message per event loop turn, so that pipelining delays no other client.
+
+        Late in a shutdown, reject the buffered statements instead.
+        """
         if self.write_blocked or self.state not in READING_STATES:
             return
         try:
