--- a/tests/support/closed_connections_case.py
+++ b/tests/support/closed_connections_case.py
@@ -19,6 +19,7 @@
 from typing import Any
 
 from sedgepitch.cli.reactors import install
+from sedgepitch.protocols.common.callbacks import ignore
 from sedgepitch.protocols.mongodb import codec as mongodb_codec
 from sedgepitch.protocols.postgresql import codec
 
@@ -123,16 +124,10 @@
     upstream = PostgresUpstream(case.reactor, clock, limits, DescriptorBudget(0), 0.0, 1.0)
     upstream.addresses = {1: server.address}
     upstream.update_endpoints((entry(1),), complete=True)
-    attempts = [upstream.send(1, HealthCheckQuery(), lambda outcome: None, NEVER) for _ in range(CONNECTIONS)]
+    attempts = [upstream.send(1, HealthCheckQuery(), ignore, NEVER) for _ in range(CONNECTIONS)]
     case.tracked = EndpointConnection
-
-    def end() -> None:
-        received = [pooled.connection for pooled in upstream.pools[1].pool.connections]
-        if not resets and all(c is not None and c.reader.buffered_bytes >= PART_BYTES for c in received):
-            for attempt in attempts:
-                attempt.abandon()
-
-    case.end_connections = end
+    if not resets:
+        _abandon_once_received(case, upstream, attempts, lambda connection: connection.reader.buffered_bytes)
 
 
 def mongodb_attempts(case: Case) -> None:
@@ -152,12 +147,19 @@
     clock = ReactorClock(case.reactor)
     upstream = MongoUpstream(case.reactor, clock, {1: server.address}, "test", limits, 1.0, 1.0)
     upstream.update_endpoints((entry(1),), complete=True)
-    attempts = [upstream.send(1, upstream.hello, lambda outcome: None, NEVER) for _ in range(CONNECTIONS)]
+    attempts = [upstream.send(1, upstream.hello, ignore, NEVER) for _ in range(CONNECTIONS)]
     case.tracked = EndpointConnection
+    _abandon_once_received(case, upstream, attempts, lambda connection: connection.buffered)
+
+
+def _abandon_once_received(
+    case: Case, upstream: Any, attempts: list[Any], buffered_bytes: Callable[[Any], int]
+) -> None:
+    """Abandon the attempts once every connection has received its part of a reply."""
 
     def end() -> None:
-        received = [pooled.connection for pooled in upstream.pools[1].pool.connections]
-        if all(c is not None and c.buffered >= PART_BYTES for c in received):
+        connections = [pooled.connection for pooled in upstream.pools[1].pool.connections]
+        if all(each is not None and buffered_bytes(each) >= PART_BYTES for each in connections):
             for attempt in attempts:
                 attempt.abandon()
 
@@ -165,36 +167,38 @@
 
 
 def postgresql_openings(case: Case) -> None:
-    """Connections whose start-up never ends; they time out."""
-    _openings(case, b"", codec.message(codec.ERROR_RESPONSE, bytes(9_000))[:-1_000], "postgresql")
+    """Connections whose start-up never ends; they are cancelled."""
+    from sedgepitch.protocols.postgresql.endpoint_connection import (
+        ConnectionCallbacks,
+        EndpointConnection,
+        SessionNames,
+    )
 
+    def make() -> EndpointConnection:
+        callbacks = ConnectionCallbacks(ignore, ignore, ignore, ignore)
+        return EndpointConnection(SessionNames(), time.monotonic, callbacks)
 
-def mongodb_openings(case: Case) -> None:
-    """Connections whose hello is never answered in full; they time out."""
-    _openings(case, b"", FRAME_PART, "mongodb")
+    case.tracked = EndpointConnection
+    _openings(case, make, codec.message(codec.ERROR_RESPONSE, bytes(9_000))[:-1_000])
 
 
-def _openings(case: Case, greeting: bytes, part: bytes, protocol: str) -> None:
-    from sedgepitch.net.connecting import OutgoingConnection
-    from sedgepitch.protocols.mongodb import endpoint_connection as mongodb
+def mongodb_openings(case: Case) -> None:
+    """Connections whose hello is never answered in full; they are cancelled."""
+    from sedgepitch.protocols.mongodb.endpoint_connection import ConnectionCallbacks, EndpointConnection
     from sedgepitch.protocols.mongodb.hello import hello_command
-    from sedgepitch.protocols.postgresql import endpoint_connection as postgresql
 
-    server = PartialServer(greeting, part, resets=False)
+    def make() -> EndpointConnection:
+        callbacks = ConnectionCallbacks(ignore, ignore, ignore, ignore)
+        return EndpointConnection(hello_command("test"), callbacks)
+
+    case.tracked = EndpointConnection
+    _openings(case, make, FRAME_PART)
 
-    def ignore(*_: object) -> None:
-        pass
 
-    def make() -> Any:
-        if protocol == "mongodb":
-            callbacks = mongodb.ConnectionCallbacks(ignore, ignore, ignore, ignore)
-            return mongodb.EndpointConnection(hello_command("test"), callbacks)
-        names = postgresql.SessionNames()
-        return postgresql.EndpointConnection(
-            names, time.monotonic, postgresql.ConnectionCallbacks(ignore, ignore, ignore, ignore)
-        )
+def _openings(case: Case, make: Callable[[], Any], part: bytes) -> None:
+    from sedgepitch.net.connecting import OutgoingConnection
 
-    case.tracked = (mongodb if protocol == "mongodb" else postgresql).EndpointConnection
+    server = PartialServer(b"", part, resets=False)
     openings = [OutgoingConnection(make, ignore, CONNECT_TIMEOUT_S) for _ in range(CONNECTIONS)]
     for opening in openings:
         opening.open(case.reactor, server.address, CONNECT_TIMEOUT_S)
