Tests: spoilt answers come from four endpoints, so that the first wave is large

Cause: with two endpoints the first wave beside load was now and then under 100 answers and the test took 16 s. Change: four endpoints.

--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -173,7 +173,8 @@
     platform = Platform(tmp_path)
     for endpoint in platform.endpoints:
         endpoint.close()
-    platform.endpoints = [SpoilingEndpoint("s-1", "writer", every), SpoilingEndpoint("s-2", "reader", every)]
+    roles = ("writer", "reader", "reader", "reader")
+    platform.endpoints = [SpoilingEndpoint(f"s-{n}", role, every) for n, role in enumerate(roles, 1)]
     platform.agent.first_object = platform.version(1)
     platform.limits = {"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS}
     classes = [
