Tests: a shutdown also answers uploads that lie unread in the sockets

Cause: the process test of the shutdown's backlog had all statements within what a client may send ahead. Change: a second form, four clients with 25 uploads of 30,000 bytes, most of which stay in the sockets.

--- a/tests/test_shutdown_backlog.py
+++ b/tests/test_shutdown_backlog.py
@@ -247,8 +247,9 @@
 class Uploader:
     """A client that sends several uploads at once, again and again, and counts its responses."""
 
-    def __init__(self, client: Client, number: int) -> None:
+    def __init__(self, client: Client, number: int, value_bytes: int) -> None:
         self.client = client
+        self.value_bytes = value_bytes
         self.first_id = number * 10_000
         self.sent = 0
         self.answered = 0
@@ -257,7 +258,7 @@
 
     def send(self, count: int) -> None:
         first = self.first_id + self.sent
-        statements = (upload_statement(first + n, 4_000) for n in range(count))
+        statements = (upload_statement(first + n, self.value_bytes) for n in range(count))
         self.client.socket.sendall(b"".join(codec.query(text) for text in statements))
         self.sent += count
 
@@ -269,9 +270,19 @@
             return
 
 
-def test_uploads_behind_hung_ones_are_answered_before_the_process_exits(tmp_path):
-    # Guards against a process that exits with hundreds of statements read and not answered (review/7).
-    clients, at_once, rounds, deadline_s = 16, 6, 9, 1.0
+@pytest.mark.parametrize(
+    ("clients", "at_once", "rounds", "value_bytes"),
+    [
+        # Guards against a process that exits with hundreds of statements read and not answered (review/7).
+        pytest.param(16, 6, 9, 4_000, id="buffered"),
+        # Guards against an exit while statements lie unread behind those that a client may send ahead.
+        pytest.param(4, 25, 1, 30_000, id="unread in the socket"),
+    ],
+)
+def test_uploads_behind_hung_ones_are_answered_before_the_process_exits(
+    tmp_path, clients, at_once, rounds, value_bytes
+):
+    deadline_s = 1.0
     platform = Platform(tmp_path)
     classes = [{**each, "objectiveS": 0.1, "deadlineS": deadline_s} for each in SETTINGS["classes"]]
     platform.configure(settings={**SETTINGS, "classes": classes})
@@ -279,7 +290,7 @@
     release = threading.Event()
     try:
         platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
-        uploaders = [Uploader(platform.client(), n) for n in range(1, clients + 1)]
+        uploaders = [Uploader(platform.client(), n, value_bytes) for n in range(1, clients + 1)]
         for endpoint in platform.endpoints:
             endpoint.script = lambda statement: release.wait(TIMEOUT_S) and None
         terminated_at = time.monotonic()
