--- a/tests/test_closed_connections.py
+++ b/tests/test_closed_connections.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from sedgepitch.protocols.mongodb.framing import FrameReceiver
 from sedgepitch.protocols.postgresql import codec
+from tests.support.mongodb_harness import MongodbProxy
 from tests.support.postgresql_harness import PostgresqlProxy
 from tests.test_postgresql_upstream import Exchange
 
@@ -67,10 +67,10 @@
 
 def test_a_mongodb_connection_that_ended_has_dropped_its_part_of_a_frame():
     # Guards against bytes kept by a closed connection that something still refers to (review/6).
-    receiver = FrameReceiver()
-    receiver.transport = None
-    receiver.dataReceived(struct.pack("<iiii", 200_000, 1, 0, 2013) + bytes(100_000))
-    assert receiver.buffered > 100_000
-    receiver.discard_buffer()
-    receiver.dataReceived(bytes(100_000))
-    assert not receiver.buffered
+    proxy = MongodbProxy()
+    connection, _ = proxy.client()
+    connection.dataReceived(struct.pack("<iiii", 200_000, 1, 0, 2013) + bytes(100_000))
+    assert connection.buffered > 100_000
+    connection.connectionLost()
+    connection.dataReceived(bytes(100_000))
+    assert not connection.buffered
