Soak: crowds of misbehaving clients, judged by memory and by the regular clients

A crowd of one of twelve kinds plays in a process of its own beside the soak's regular clients; the proxy is killed once its private memory (RssAnon, 10^6 bytes) is over the limit of its settings, as the platform does.

--- a/sedgepitch/scenarios/soak/clients.py
+++ b/sedgepitch/scenarios/soak/clients.py
@@ -88,13 +88,13 @@
         raise ConnectionEndedError from None
 
 
-def statement(cls: TrafficClass, rid: str, deadline: float, key: str) -> bytes:
-    """Return the SQL statement of a request."""
+def statement(cls: TrafficClass, rid: str, deadline: float, key: str, payload: str = "9f03") -> bytes:
+    """Return the SQL statement of a request; `payload` is the value of a write in hexadecimal digits."""
     comment = f"id={rid},c={cls.name},d={round(deadline * codec.MS_PER_S)}"
     if cls.effect == "deduplicated":
         comment += f",k={key}"
     if cls.writes:
-        text = "INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x9f03') RETURNING payload"
+        text = f"INSERT INTO entries (ref, payload) VALUES ('7f3a', '\\x{payload}') RETURNING payload"
     else:
         text = "SELECT payload FROM entries WHERE ref = '7f3a'"
     return f"{text} /* {comment},cluster=1 */".encode()
--- a/sedgepitch/scenarios/soak/proxy_processes.py
+++ b/sedgepitch/scenarios/soak/proxy_processes.py
@@ -23,9 +23,10 @@
 KILL_MARGIN_S = 0.7  # past the longest deadline: the platform's earliest SIGKILL after SIGTERM
 MAX_DEADLINE_S = 3.0  # a longer deadline does not extend the grace period
 LEVEL_AFTER_S = 2.5  # after ready, when memory and descriptors are measured
-LIMIT_SOCKETS = 256
-LIMIT_MEMORY_MB = 192
+MEMORY_INTERVAL_S = 0.02  # between measurements of the memory of all processes
+BYTES_PER_KB, BYTES_PER_MB = 1024, 1_000_000
 FILE_REPAIRED_AFTER_S = 0.08  # until a half-written or missing file is complete again
+_PRIVATE_MEMORY = re.compile(r"(?:RssAnon|RssShmem):\s+(\d+) kB")
 _LAG = re.compile(r"max_lag_ms=([0-9.]+)")
 
 
@@ -55,6 +56,7 @@
     ready_at: float = 0.0
     terminated_at: float = 0.0
     killed: bool = False
+    peak_memory_mb: float = 0.0
     level: ResourceLevel | None = None
 
     @property
@@ -75,6 +77,15 @@
         """Return the longest event loop lag in the log, in seconds."""
         return max((float(found) for found in _LAG.findall(self.text())), default=0.0) / 1000.0
 
+    def private_memory_mb(self) -> float:
+        """Return the memory that the process does not share with files, 0 if it has ended."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        except OSError:
+            return 0.0
+        kilobytes = sum(int(found) for found in _PRIVATE_MEMORY.findall(status))
+        return kilobytes * BYTES_PER_KB / BYTES_PER_MB
+
     def measure(self) -> None:
         """Measure open descriptors and resident memory."""
         try:
@@ -150,6 +161,20 @@
         await asyncio.sleep(LEVEL_AFTER_S)
         proxy.measure()
 
+    async def enforce_memory_limit(self, limit_mb: float) -> None:
+        """Kill each process that uses more than the limit, as the platform does; add a finding."""
+        while True:
+            for proxy in [each for each in self.processes[-2:] if each.running]:
+                used = proxy.private_memory_mb()
+                proxy.peak_memory_mb = max(proxy.peak_memory_mb, used)
+                if used > limit_mb:
+                    proxy.process.kill()
+                    proxy.process.wait()
+                    self.findings.append(
+                        f"process {proxy.number} used {used:.1f} of {limit_mb:g} MB and was killed for it"
+                    )
+            await asyncio.sleep(MEMORY_INTERVAL_S)
+
     # Signals
 
     async def restart(self, plan: RestartPlan, on_started: Callable[[ProxyProcess], None]) -> None:
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -10,6 +10,7 @@
 import sys
 import time
 from collections.abc import Callable, Coroutine
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -17,13 +18,8 @@
 from sedgepitch.scenarios.soak.clients import SharedState, SoakClient
 from sedgepitch.scenarios.soak.crowd import Crowd
 from sedgepitch.scenarios.soak.emulated_platform import EmulatedPlatform
-from sedgepitch.scenarios.soak.proxy_processes import (
-    LIMIT_MEMORY_MB,
-    LIMIT_SOCKETS,
-    ProxyProcess,
-    ProxyProcesses,
-    free_port,
-)
+from sedgepitch.scenarios.soak.misbehaving_clients import CrowdKind
+from sedgepitch.scenarios.soak.proxy_processes import ProxyProcess, ProxyProcesses, free_port
 from sedgepitch.scenarios.soak.script import Action, SoakScript, Step
 from sedgepitch.scenarios.soak.traffic import platform_settings
 from sedgepitch.scenarios.soak.verdict import SoakResult, Verdict
@@ -33,6 +29,8 @@
 RELOADED_WITHIN_S = 6.0  # after the last SIGHUP, the proxy must have a watch at the configured agent
 DRAINED_AFTER_S = 1.0  # past the longest deadline, to wait for the last responses
 PROGRAM = [sys.executable, "-m", "sedgepitch.node"]
+CROWD_PROGRAM = [sys.executable, "-m", "sedgepitch.scenarios.soak.crowd_process"]
+CROWD_ENDS_WITHIN_S = 5.0
 BUSY = "import os; parent = os.getppid()\nwhile os.getppid() == parent: pass"
 
 
@@ -51,6 +49,7 @@
             directory, command or PROGRAM, {}, self._configuration, script.longest_deadline
         )
         self._shared = SharedState(rng, self._record, script.longest_deadline, lambda: self._port)
+        self._crowds = 0  # of misbehaving clients, so far
         self._crowd = Crowd(lambda: self._port, rng)
         self._own_delay = 0.0
         self._played: list[Step] = []
@@ -73,7 +72,7 @@
             "listen": f"127.0.0.1:{self._port}",
             "discovery": f"127.0.0.1:{platform.agents[platform.agent_index].port}",
             "seed": f"{self._script.seed:016x}",
-            "limits": {"cores": 1.0, "memory_mb": LIMIT_MEMORY_MB, "sockets": LIMIT_SOCKETS},
+            "limits": {"cores": 1.0, **asdict(self._script.limits)},
             "known": platform.complete_list(),
             "settings": platform_settings(self._script.longest_deadline),
         }
@@ -101,6 +100,7 @@
     async def _load(self, began: float) -> None:
         self._spawn(self._watch_own_delay())
         self._spawn(self._processes.watch_level(self._processes.current))
+        self._spawn(self._processes.enforce_memory_limit(self._script.limits.memory_mb))
         clients = [asyncio.create_task(SoakClient(self._shared).run()) for _ in range(CLIENTS)]
         for step in self._script.steps:
             await asyncio.sleep(max(0.0, began + step.at - time.monotonic()))
@@ -138,10 +138,26 @@
             Action.RESTART: self._restart,
             Action.RELOAD_SERIES: self._reload_series,
             Action.SUSPEND: self._suspend,
-            Action.CROWD: lambda step: self._crowd.play(step.duration),
+            Action.CROWD: self._play_crowd,
         }
         await handlers.get(step.action, self._platform.inject)(step)
 
+    async def _play_crowd(self, step: Step) -> None:
+        if step.crowd is CrowdKind.MIXED:
+            await self._crowd.play(step.duration)
+            return
+        self._crowds += 1
+        arguments = [step.crowd, str(self._port), str(step.duration), f"c{self._crowds}x"]
+        process = await asyncio.create_subprocess_exec(
+            *CROWD_PROGRAM, *arguments, stdout=asyncio.subprocess.PIPE
+        )
+        try:
+            output, _ = await asyncio.wait_for(process.communicate(), step.duration + CROWD_ENDS_WITHIN_S)
+        finally:
+            if process.returncode is None:
+                process.kill()
+        self._records += [json.loads(line) for line in output.splitlines()]
+
     async def _restart(self, step: Step) -> None:
         self._platform.delay_notifications()
 
--- a/sedgepitch/scenarios/soak/script.py
+++ b/sedgepitch/scenarios/soak/script.py
@@ -8,6 +8,7 @@
 from itertools import pairwise
 
 from sedgepitch.scenarios.errors import ScenarioError
+from sedgepitch.scenarios.soak.misbehaving_clients import MISBEHAVING, CrowdKind
 
 LENGTH_MIN_S, LENGTH_MAX_S = 10.0, 3600.0
 SERVERS = 4  # server 1 is the first primary
@@ -29,6 +30,7 @@
 OUTAGE_S = (1.0, 4.0)
 DRAIN_S = (2.0, 6.0)
 CROWD_S = (2.0, 4.0)
+MISBEHAVING_CROWDS = 2  # of the runs that have a crowd, beside the mixed ones
 
 
 class Action(StrEnum):
@@ -66,6 +68,18 @@
 OUTAGES = (Action.DISCOVERY_SILENT, Action.DISCOVERY_REFUSED, Action.DISCOVERY_SLOW)
 
 
+@dataclass(slots=True, frozen=True)
+class ProcessLimits:
+    """The limits of the proxy process in its settings."""
+
+    memory_mb: int = 192
+    sockets: int = 256
+
+
+DEFAULT_LIMITS = ProcessLimits()
+CROWD_LIMITS = (ProcessLimits(32, 1024), ProcessLimits(64, 1024), DEFAULT_LIMITS)
+
+
 class FileState(StrEnum):
     """State of the configuration file at a SIGHUP."""
 
@@ -106,12 +120,14 @@
     duration: float = 0.0
     restart: RestartPlan = DEFAULT_RESTART
     reloads: tuple[Reload, ...] = ()
+    crowd: CrowdKind = CrowdKind.MIXED
 
     def describe(self) -> str:
         """Return a short description of the step."""
         server = f" server {self.server}" if self.server else ""
         duration = f" for {self.duration:.2f} s" if self.duration else ""
-        return f"{self.action}{server}{duration} at {self.at:.2f} s"
+        crowd = f" of {self.crowd}" if self.action is Action.CROWD else ""
+        return f"{self.action}{crowd}{server}{duration} at {self.at:.2f} s"
 
 
 @dataclass(slots=True, frozen=True)
@@ -124,6 +140,7 @@
     crowd: bool
     busy_processes: int
     steps: tuple[Step, ...]
+    limits: ProcessLimits = DEFAULT_LIMITS
 
     def until(self, count: int) -> SoakScript:
         """Return the script cut down to its first `count` steps."""
@@ -149,10 +166,15 @@
     for at in restarts:
         steps.append(_reload_series(rng, at + rng.uniform(*RESTART_INTERVAL_S) / 2.0))
     steps += _long_suspensions(rng, restarts)
+    limits = DEFAULT_LIMITS
+    if crowd:
+        crowd_rng = random.Random(f"soak crowd/{seed}")  # its own, so that older seeds keep their steps
+        limits = crowd_rng.choice(CROWD_LIMITS)
+        steps += _misbehaving_crowds(crowd_rng, length)
     steps = [step for step in steps if 0.0 <= step.at < length - LAST_STEP_BEFORE_END_S]
     steps.sort(key=lambda step: step.at)
     busy = BUSY_PROCESSES if seed % BUSY_EVERY == 0 else 0
-    return SoakScript(seed, length, longest_deadline, crowd, busy, tuple(steps))
+    return SoakScript(seed, length, longest_deadline, crowd, busy, tuple(steps), limits)
 
 
 def _restart_times(rng: random.Random, length: float) -> list[float]:
@@ -205,6 +227,14 @@
     return Step(at, Action.RELOAD_SERIES, reloads=tuple(reloads))
 
 
+def _misbehaving_crowds(rng: random.Random, length: float) -> list[Step]:
+    kinds = rng.sample(MISBEHAVING, MISBEHAVING_CROWDS)
+    return [
+        Step(rng.uniform(0.0, length), Action.CROWD, duration=rng.uniform(*CROWD_S), crowd=kind)
+        for kind in kinds
+    ]
+
+
 def _long_suspensions(rng: random.Random, restarts: list[float]) -> list[Step]:
     """Return one suspension of 1 or 2 s between two restarts with no shutdown during it, if there is room."""
     for before, after in pairwise(restarts):
--- a/sedgepitch/scenarios/soak/verdict.py
+++ b/sedgepitch/scenarios/soak/verdict.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -9,6 +10,7 @@
 from sedgepitch.audit.records import Record
 from sedgepitch.audit.rules import audit
 from sedgepitch.scenarios.soak.clients import Crossing, SharedState
+from sedgepitch.scenarios.soak.misbehaving_clients import CrowdKind
 from sedgepitch.scenarios.soak.proxy_processes import ProxyProcess
 from sedgepitch.scenarios.soak.script import SoakScript, Step
 from sedgepitch.scenarios.soak.traffic import guarantees, rule_parameters
@@ -18,6 +20,7 @@
 LEVEL_FACTOR = 1.5
 LEVEL_MEMORY_MB = 8.0
 LEVEL_DESCRIPTORS = 60
+SERVED_IN_CROWD_MIN = 0.2  # of the regular clients' requests; the platform's gate for a third of a short day
 CROWD_MARGIN_S = 1.0  # around a crowd, when the proxy may close connections unread for lack of descriptors
 
 
@@ -36,6 +39,9 @@
     unread: int = 0  # first requests on connections closed unread while a crowd used the descriptors
     crossed: int = 0  # requests sent on a reused connection as the proxy closed it
     steps_played: list[Step] = field(default_factory=list)
+    peak_memory_mb: float = 0.0
+    served_in_crowds: float = 1.0  # share of the regular clients' requests answered with success in time
+    worst_in_crowds: float = 0.0  # s from a request of those to its answer
 
     @property
     def passed(self) -> bool:
@@ -58,6 +64,10 @@
             "violations": self.violations,
             "proxy_delay_s": round(self.proxy_delay, 3),
             "own_delay_s": round(self.own_delay, 3),
+            "memory_mb": self.script.limits.memory_mb,
+            "peak_memory_mb": round(self.peak_memory_mb, 1),
+            "served_in_crowds": round(self.served_in_crowds, 3),
+            "worst_in_crowds_s": round(self.worst_in_crowds, 3),
             "passed": self.passed,
         }
 
@@ -81,6 +91,10 @@
         lost, unread = self._closed_connections()
         violations += lost
         violations += self._late_attempts(own_delay)
+        violations += self._repeated_effects()
+        served_in_crowds, worst_in_crowds = self._answers_in_crowds()
+        if served_in_crowds < SERVED_IN_CROWD_MIN:
+            violations.append(f"{served_in_crowds:.2f} of the regular requests served in time beside a crowd")
         violations += [f"wrong value: {text}" for text in self._shared.wrong_values]
         for proxy in processes:
             violations += self._process_violations(proxy)
@@ -98,6 +112,9 @@
             own_delay=own_delay,
             unread=unread,
             crossed=len(self._shared.crossings),
+            peak_memory_mb=max((proxy.peak_memory_mb for proxy in processes), default=0.0),
+            served_in_crowds=served_in_crowds,
+            worst_in_crowds=worst_in_crowds,
         )
 
     # Connections that the proxy closed
@@ -136,6 +153,42 @@
             if record["e"] == "recv" and record["t"] - left_at.get(record["rid"], record["t"]) > allowed
         ]
 
+    # Crowds of misbehaving clients
+
+    def _repeated_effects(self) -> list[str]:
+        """Return the writes of a crowd that took effect more than once; the audit covers the others."""
+        asked = {record["rid"] for record in self._records if record["e"] == "ask"}
+        commits = Counter(record["rid"] for record in self._records if record["e"] == "commit")
+        return [
+            f"{rid}: took effect {count} times"
+            for rid, count in commits.items()
+            if count > 1 and rid not in asked
+        ]
+
+    def _answers_in_crowds(self) -> tuple[float, float]:
+        """Return the share of regular requests served in time beside such a crowd, and the longest wait."""
+        crowds = [
+            (self._began + step.at, self._began + step.at + step.duration)
+            for step in self._script.steps
+            if step.crowd is not CrowdKind.MIXED
+        ]
+        answers = {record["rid"]: record for record in self._records if record["e"] == "got"}
+        left = {record["rid"] for record in self._records if record["e"] == "left"}
+        asks = [
+            record
+            for record in self._records
+            if record["e"] == "ask" and any(begin <= record["t"] <= end for begin, end in crowds)
+            if record["rid"] not in left
+        ]
+        got = [(ask, answers.get(ask["rid"])) for ask in asks]
+        served = [
+            ask
+            for ask, answer in got
+            if answer is not None and answer["verdict"] == "served" and answer["t"] <= ask["by"]
+        ]
+        worst = max((answer["t"] - ask["t"] for ask, answer in got if answer is not None), default=0.0)
+        return (len(served) / len(asks) if asks else 1.0), worst
+
     # Processes
 
     def _process_violations(self, proxy: ProxyProcess) -> list[str]:
