Log: what a closed connection had unread, memory, and answers by reason

The report's log could not tell whether the lost upload lay unread when its connection was closed, what memory a killed process had had, nor why clients were refused; and one kind of line (6,867 malformed messages) used up the 20 lines a second of all others.

The golden digests of the protocols cover the seven fields of a close report that they were recorded with, and match unchanged; the new fields have tests of their own.

--- a/sedgepitch/net/socket_state.py
+++ b/sedgepitch/net/socket_state.py
@@ -2,15 +2,18 @@
 
 from __future__ import annotations
 
+import fcntl
 import select
 import socket
 import struct
+import termios
 
 # struct tcp_info (linux/tcp.h): eight bytes of small fields, then 32-bit counters, of which
 # tcpi_last_data_recv (ms) is the twelfth.
 _LAST_DATA_RECEIVED = struct.Struct("@I")
 _LAST_DATA_OFFSET = 8 + 11 * 4
 _TCP_INFO_SIZE = _LAST_DATA_OFFSET + _LAST_DATA_RECEIVED.size
+_INT = struct.Struct("@i")
 _MS_PER_S = 1000.0
 MAX_BACKLOG_WAIT_S = 60.0  # no client waits longer, so a larger value cannot be the age of a request
 
@@ -43,6 +46,18 @@
     return False
 
 
+def unread_bytes(transport: object) -> int:
+    """Return the number of received bytes that were not read yet, 0 if unknown."""
+    connected = getattr(transport, "socket", None)
+    if connected is None or connected.fileno() < 0:
+        return 0
+    try:
+        count = fcntl.ioctl(connected.fileno(), termios.FIONREAD, bytes(_INT.size))
+    except OSError:
+        return 0
+    return int(_INT.unpack(count)[0])
+
+
 def is_open_and_idle(transport: object) -> bool:
     """Return whether a transport is open with nothing to read; True for one without a socket (in tests)."""
     if getattr(transport, "disconnecting", False) or not getattr(transport, "connected", True):
--- a/sedgepitch/node/proxy.py
+++ b/sedgepitch/node/proxy.py
@@ -259,6 +259,9 @@
             attempts=report.attempts,
             unread_bytes=report.unexecuted_bytes,
             duration_s=round(report.duration, 3),
+            state=report.state,
+            missing_bytes=report.missing_bytes,
+            socket_bytes=report.socket_bytes,
         )
 
     def _log_closes(self) -> None:
@@ -269,6 +272,7 @@
             with_pending_request=closes.with_request,
             reasons=closes.summary(),
         )
+        self.log.log_event("client_answers", reasons=self.clients.answers.summary())
 
     def _log_statistics(self) -> None:
         self.log.log_event("runtime_statistics", **self.statistics().log_fields())
--- a/sedgepitch/node/runtime_statistics.py
+++ b/sedgepitch/node/runtime_statistics.py
@@ -7,10 +7,12 @@
 
 from sedgepitch.core.engine import Engine
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
+from sedgepitch.net.process_memory import private_bytes
 from sedgepitch.protocols.postgresql.client_listener import ClientListener
 from sedgepitch.protocols.postgresql.upstream import PostgresUpstream
 
 MS_PER_S = 1000.0
+BYTES_PER_MB = 1_000_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -41,6 +43,7 @@
     overdue: int  # answered by the engine's last guard; above 0 indicates a defect
     callback_errors: int  # above 0 indicates a defect
     cpu_s: float  # CPU time of the process
+    private_memory_mb: float  # now
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields for a log event, in order of declaration."""
@@ -83,4 +86,5 @@
         overdue=engine.answered_by_last_guard,
         callback_errors=engine.callbacks.errors,
         cpu_s=round(time.process_time(), 2),
+        private_memory_mb=round(private_bytes() / BYTES_PER_MB, 1),
     )
--- a/sedgepitch/node/trace.py
+++ b/sedgepitch/node/trace.py
@@ -65,7 +65,7 @@
 
     def write(self, kind: str, **fields: object) -> None:
         """Write one line; write errors are ignored."""
-        if not self._limiter.admit():
+        if not self._limiter.admit(kind):
             return
         line = {"trace": kind, "driver": self.name, "at": round(time.monotonic(), TIME_DIGITS), **fields}
         with contextlib.suppress(OSError, ValueError):
--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -49,6 +49,9 @@
         self.message_started_at = 0.0  # arrival time of the first buffered byte
         self.accepted_at = listener.clock.now()
         self.close_reason: CloseReason | None = None  # the first reason recorded by the proxy
+        self.closed_from = ClientState.CLOSING  # the state at that time, as are the next two
+        self.missing_bytes = 0
+        self.socket_bytes = 0
 
     # Reading
 
@@ -302,6 +305,9 @@
     def _note_close_reason(self, reason: CloseReason) -> None:
         if self.close_reason is None:
             self.close_reason = reason
+            self.closed_from = self.state
+            self.missing_bytes = self.reader.missing_bytes
+            self.socket_bytes = socket_state.unread_bytes(self.transport)
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Count and report the close, release the connection's resources and cancel its request."""
@@ -324,6 +330,9 @@
             attempts=request.attempt_count if request is not None else 0,
             unexecuted_bytes=self.reader.buffered_bytes,
             duration=self.listener.clock.now() - self.accepted_at,
+            state=self.closed_from.value,
+            missing_bytes=self.missing_bytes,
+            socket_bytes=self.socket_bytes,
         )
 
     def _cancel_request(self) -> None:
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -12,6 +12,7 @@
 from sedgepitch.decisions.connections.loop_activity import LoopActivity
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.net import socket_state
+from sedgepitch.protocols.postgresql.answer_log import AnswerLog
 from sedgepitch.protocols.postgresql.close_reasons import CloseLog, CloseReason
 from sedgepitch.protocols.postgresql.read_ahead import ReadAhead
 from sedgepitch.protocols.postgresql.statement_handler import StatementHandler
@@ -51,6 +52,7 @@
         self.open_request_ids: dict[bytes, ClientConnection] = {}
         self.read_ahead = ReadAhead()
         self.closes = CloseLog()
+        self.answers = AnswerLog()
         self.accepted = 0
         self.bad_messages = 0
         self.bad_statements = 0
--- a/sedgepitch/protocols/postgresql/close_reasons.py
+++ b/sedgepitch/protocols/postgresql/close_reasons.py
@@ -51,6 +51,9 @@
     attempts: int  # attempts of that request
     unexecuted_bytes: int  # read from the client and not executed yet
     duration: float  # s since the connection was accepted
+    state: str = ""  # of the connection when the proxy decided to close it
+    missing_bytes: int = 0  # of an incomplete message, as its header announces
+    socket_bytes: int = 0  # in the socket, not read, when the proxy decided to close it
 
 
 def reason_of_loss(failure: Failure) -> CloseReason:
@@ -87,7 +90,9 @@
     def _is_unusual(report: CloseReport) -> bool:
         if report.reason in CLOSED_BY_CLIENT:
             return False
-        return bool(report.request or report.unexecuted_bytes) or report.reason not in ROUTINE_REASONS
+        if report.request or report.unexecuted_bytes or report.socket_bytes:
+            return True
+        return report.reason not in ROUTINE_REASONS
 
     def summary(self) -> str:
         """Return the counts as `reason:count`, joined by commas; "none" if there are none."""
--- a/sedgepitch/protocols/postgresql/codec.py
+++ b/sedgepitch/protocols/postgresql/codec.py
@@ -94,6 +94,11 @@
         """Return how many bytes are buffered."""
         return self._held
 
+    @property
+    def missing_bytes(self) -> int:
+        """Return how many bytes of the next message, as far as its header tells, have not been received."""
+        return max(0, self._want - self._held) if self._held else 0
+
     @property
     def has_complete_message(self) -> bool:
         """Return whether `next` would return a message, or raise for a malformed one."""
--- a/sedgepitch/protocols/postgresql/statement_handler.py
+++ b/sedgepitch/protocols/postgresql/statement_handler.py
@@ -96,6 +96,7 @@
         def respond(response: Response) -> None:
             connection.request = None
             listener.open_request_ids.pop(statement.id, None)
+            listener.answers.answered(response)
             connection.send_response(self._response_message(response))
 
         pending = listener.engine.submit(request, respond, arrived)
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -10,7 +10,6 @@
 import sys
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
@@ -67,12 +66,13 @@
 
     def _configuration(self) -> dict[str, Any]:
         platform = self._platform
+        limits = self._script.limits
         return {
             "name": "n1",
             "listen": f"127.0.0.1:{self._port}",
             "discovery": f"127.0.0.1:{platform.agents[platform.agent_index].port}",
             "seed": f"{self._script.seed:016x}",
-            "limits": {"cores": 1.0, **asdict(self._script.limits)},
+            "limits": {"cores": 1.0, "memory_mb": limits.memory_mb, "sockets": limits.sockets},
             "known": platform.complete_list(),
             "settings": platform_settings(self._script.longest_deadline),
         }
--- a/tests/support/golden_postgresql.py
+++ b/tests/support/golden_postgresql.py
@@ -22,6 +22,7 @@
 from tests.support.router_harness import SETTINGS, entry
 
 SOCKETS = 40
+REPORT_FIELDS = 7  # of a close report, those that the digests cover; tests/test_close_reasons.py has the rest
 FLOOD_STATEMENTS = 900  # about 80 KB
 CLASSES = ("bounded", "any", "session", "fresh")
 ERROR_CODES = ("25006", "72000", "53300", "XX000", "08P01", "40001", "toolong")
@@ -90,7 +91,7 @@
         self.writer = 1
 
     def _closed(self, report: CloseReport) -> None:
-        _, reason, *rest = astuple(report)
+        _, reason, *rest = astuple(report)[:REPORT_FIELDS]
         self.reports.append(f"{report.number} {reason.value} {rest}")
 
     def make_client(self) -> Any:
--- a/tests/test_close_reasons.py
+++ b/tests/test_close_reasons.py
@@ -10,6 +10,7 @@
 
 from sedgepitch.net.transport import ReadFailed, SocketFailed
 from sedgepitch.protocols.postgresql.close_reasons import CloseLog, CloseReason, CloseReport
+from sedgepitch.routing.messages import AttemptResult
 from tests.support.postgresql_harness import PostgresqlProxy, read
 
 
@@ -61,3 +62,30 @@
     assert proxy.listener.closes.counts == {reason: 1} and proxy.listener.closes.with_request == 1
     for entry in reports:
         assert entry.request and entry.attempts == 1 and str(error) in entry.detail
+
+
+def test_a_close_reports_the_state_and_the_missing_bytes_of_an_incomplete_message():
+    # Guards against a close that does not tell whether the request had been read (incident a29244).
+    proxy = PostgresqlProxy()
+    reports = []
+    proxy.listener.closes.report = reports.append
+    connection, _ = proxy.client()
+    connection.dataReceived(read(1)[:-3])
+    connection.time_out()
+    connection.connectionLost(Failure(ConnectionDone()))
+    (closed,) = reports
+    assert (closed.reason, closed.state, closed.missing_bytes) == (CloseReason.INPUT_TIMEOUT, "ready", 3)
+    assert closed.socket_bytes == 0
+
+
+def test_answers_other_than_served_are_counted_by_reason_without_numbers():
+    proxy = PostgresqlProxy()
+    for number in (1, 2):
+        connection, _ = proxy.client()
+        connection.dataReceived(read(number))
+        proxy.turn()
+        proxy.answer(result=AttemptResult.ERROR)
+        proxy.turn(1.0)
+    counts = proxy.listener.answers.counts
+    assert sum(counts.values()) == 2 and not any(character.isdigit() for key in counts for character in key)
+    assert proxy.listener.answers.summary() != "none"
