Input of clients that do not read their responses is bounded like any other

Cause: dataReceived asked for the read-ahead limit while a statement was executing alone. Now the limit holds there too; reading resumes when the responses have drained, as after a statement, and the periodic check finds a client that leaves meanwhile, as for any paused socket.

--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -85,7 +85,7 @@
             listener.activity.bytes_received(self)
         self.reader.feed(data)
         self.advance()
-        if self.state in BUSY_STATES and not self.reads_paused:
+        if (self.write_blocked or self.state in BUSY_STATES) and not self.reads_paused:
             listener.read_ahead.limit(self)
 
     def _discard_input(self, data: bytes) -> None:
--- a/sedgepitch/protocols/postgresql/read_ahead.py
+++ b/sedgepitch/protocols/postgresql/read_ahead.py
@@ -1,9 +1,10 @@
-"""Limits the input buffered per client while a statement is in flight; above it, reading is paused.
+"""Limits the input buffered per client while a statement is in flight or responses are not read.
 
-Reading is paused only while the connection makes progress without input. It resumes once the buffer has
+Above the limit, reading is paused. That is done only while the connection makes progress without input, or
+none because its client does not read its responses, which a timeout ends. Reading resumes once the buffer has
 drained, or once no complete message is left in it: a statement may be longer than what counts as drained,
-and its rest is still in the socket. A connection whose client reads its responses therefore buffers at most
-its limit, or one incomplete message if that is longer, plus one read.
+and its rest is still in the socket. A connection therefore buffers at most its limit, or one incomplete
+message if that is longer, plus one read.
 
 The end of a client's stream is queued behind all data that it has sent, so a disconnect is not seen while the
 kernel's buffers are full. A few clients therefore get a larger limit, so that their disconnects are noticed.
--- a/tests/test_read_ahead.py
+++ b/tests/test_read_ahead.py
@@ -86,3 +86,20 @@
     for _ in statements:
         kinds = [kind for kind, _ in client.read_until_ready()]
         assert codec.DATA_ROW in kinds and codec.ERROR_RESPONSE not in kinds
+
+
+# Guards against input of clients that do not read their responses, which grew without bound (review/1).
+@pytest.mark.parametrize("state", ["ready", "executing"])
+def test_input_of_a_client_that_does_not_read_its_responses_is_bounded(state):
+    client = PipeliningClient(COMMANDS * [60_000], SOCKET_READ_BYTES)
+    if state == "executing":
+        assert client.read() and client.read()
+    client.connection.on_write_blocked()
+    while client.read():
+        pass
+    largest_message = max(map(len, uploads([60_000])))
+    assert client.buffered_max <= max(*LIMITS, largest_message) + SOCKET_READ_BYTES
+    client.connection.on_write_drained()
+    client.proxy.turn()
+    while client.answered < COMMANDS:
+        assert client.answer() or client.read(), "reading is paused, and no request is pending"
