Matching a written value needs no memory of its own

Cause: the pattern repeated a group of two digits; the regular expression engine keeps a record for each repetition. Measured on the largest statement (131 kB): 9.1 and 6.9 ms and 12 MB of memory for one match. A set of characters repeated possessively takes 0.34 ms and none; that the digits come in pairs is checked by their count.

Shown: two tests of the memory that reading the largest statement takes (of a class that exists and of one that does not) failed before.

--- a/sedgepitch/protocols/postgresql/statements.py
+++ b/sedgepitch/protocols/postgresql/statements.py
@@ -27,13 +27,15 @@
 
 TIME_LEFT_MAX_MS = 3_600_000.0  # larger values are rejected as client errors
 GROUP_MAX = 2**31
+DIGITS_PER_BYTE = 2  # of a written value
 SQLSTATE_SYNTAX_ERROR = "42601"
 SQLSTATE_UNDEFINED_OBJECT = "42704"
 
+# Repeating a set of characters needs no memory; repeating a group of two digits takes some for each pair.
 _STATEMENT = re.compile(
     rb"(?:SELECT payload FROM entries WHERE ref = '(?P<read>[!-&(-.0-\[\]-~]{1,128})'"
     rb"|INSERT INTO entries \(ref, payload\) VALUES \('(?P<write>[!-&(-.0-\[\]-~]{1,128})', "
-    rb"'\\x(?:[0-9a-fA-F]{2})*'\) RETURNING payload)"
+    rb"'\\x(?P<digits>[0-9a-fA-F]*+)'\) RETURNING payload)"
     rb" /\* (?P<comment>[!-)+-.0-~]{1,1024}) \*/"
 )
 _IDENTIFIER = re.compile(rb"[0-9A-Za-z_.:-]{1,64}")
@@ -74,7 +76,7 @@
 def read(statement: bytes, classes: Mapping[str, RequestClass]) -> Statement:
     """Parse one statement; raises StatementError."""
     match = _STATEMENT.fullmatch(statement)
-    if match is None:
+    if match is None or (match.end("digits") - match.start("digits")) % DIGITS_PER_BYTE:
         raise StatementError("neither of the two statements that are served here")
     fields = _comment_fields(match["comment"])
     request_id = fields.get(b"id", b"")
--- a/tests/test_postgresql_codec.py
+++ b/tests/test_postgresql_codec.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import struct
+import tracemalloc
 
 import pytest
 from hypothesis import given
@@ -11,6 +13,7 @@
 from sedgepitch.protocols.postgresql import codec, statements
 from sedgepitch.protocols.postgresql.codec import MalformedMessage, Reader
 from sedgepitch.protocols.postgresql.statements import StatementError
+from tests.support.platform import upload_statement
 from tests.support.router_harness import CLASSES
 
 NAMED = {c.name: c for c in CLASSES}
@@ -166,3 +169,23 @@
     middle = raw[len(statement.head) : len(raw) - len(statement.tail)]
     assert raw == statement.head + middle + statement.tail and statement.head.endswith((b",d=", b" d="))
     assert float(middle) / 1000.0 == statement.time_left and statement.id in raw
+
+
+# Guards against a match that needs 90 times the memory of a statement, and holds the event loop (a29244).
+@pytest.mark.parametrize("name", ["write", "no-such-class"])
+def test_reading_the_largest_statement_takes_little_more_memory_than_its_text(name):
+    text = upload_statement(1, codec.VALUE_BYTES_MAX, name)
+    tracemalloc.start()
+    try:
+        with contextlib.suppress(StatementError):
+            statements.read(text, NAMED)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < 2 * len(text)
+
+
+def test_a_value_of_an_odd_number_of_digits_is_not_served():
+    assert statements.read(WRITE, NAMED).writes
+    with pytest.raises(StatementError):
+        statements.read(WRITE.replace(b"9f03", b"9f0"), NAMED)
