Freed buffers go back to the system, and reads share one buffer

Cause: each read allocated 64 KiB, and glibc raises the size from which a block is mapped on its own as soon as one such block is freed, so the buffers of hundreds of connections lay on the heap between small objects.

Now the program sets the three sizes concerned (mallopt(3); without glibc nothing happens), and sockets are read into one buffer from which exactly the received bytes are copied.

--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -73,6 +73,9 @@
 
 
 now = time.monotonic
+READ_BYTES_MAX = 64 * 1024  # of one read; Twisted's default
+# One buffer for all reads: a buffer of that size for each would leave the heap in fragments.
+_read_buffer = memoryview(bytearray(READ_BYTES_MAX))
 _timestamps = ReceiveTimestamps()  # the process has one wall clock
 
 
@@ -136,10 +139,11 @@
         return self._receive_once()
 
     def _receive_once(self) -> tuple[bytes, list[tuple[int, int, bytes]]]:
+        buffer = _read_buffer[: self.bufferSize]
         if not self._has_timestamps:
-            return self.socket.recv(self.bufferSize), []
-        data, ancillary, _, _ = self.socket.recvmsg(self.bufferSize, _ANCILLARY_SIZE)
-        return data, ancillary
+            return bytes(buffer[: self.socket.recv_into(buffer)]), []
+        size, ancillary, _, _ = self.socket.recvmsg_into((buffer,), _ANCILLARY_SIZE)
+        return bytes(buffer[:size]), ancillary
 
     def _read_failed(self, number: int) -> ReadFailed | None:
         """Return the error that ends the connection, or None if the connection may continue."""
--- a/sedgepitch/node/__main__.py
+++ b/sedgepitch/node/__main__.py
@@ -17,6 +17,7 @@
 from typing import Any, NoReturn  # noqa: E402
 
 from sedgepitch.core.clock import unix_offset  # noqa: E402
+from sedgepitch.net.memory_allocator import return_freed_buffers  # noqa: E402
 from sedgepitch.net.twisted_types import Reactor  # noqa: E402
 from sedgepitch.node.config import NodeConfigError, load  # noqa: E402
 from sedgepitch.node.structured_log import TRACE_VARIABLE, StructuredLog  # noqa: E402
@@ -50,6 +51,7 @@
 
 def main(signals: SignalQueue) -> int:
     """Run until a graceful shutdown ends the process, or return the exit code of a start that failed."""
+    return_freed_buffers()
     environment = dict(os.environ)
     tracing = bool(environment.get(TRACE_VARIABLE))
     log = StructuredLog(environment.get("RELAY_NAME", "driver"), tracing=tracing)
