All client connections together hold a share of the process's memory

Now the headroom between the limit and what the process uses at its start is shared out (decisions/connections/process_memory_shares.py); clients have 0.3 of it (client_memory.py). Large statements are admitted up to 0.6 of that and rejected beyond it (53300, nothing ran). When input and unsent responses exceed the rest, connections give theirs back in order of bytes times time held: a client that stops, writes slowly or does not read goes before one whose statement comes at once. A dropped statement is read to its end without being buffered and rejected then, so each still has its answer. Under pressure sockets are read in pieces of 4 KiB and nothing ahead. A statement gives its text back with its answer. While the whole process is over nine tenths of its limit, the budget is halved step by step.

--- a/sedgepitch/core/reasons.py
+++ b/sedgepitch/core/reasons.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 STOPPING = "stopping"
+OUT_OF_MEMORY = "no memory for this statement now"
 TOO_MANY_IN_FLIGHT = "too many requests in flight"
 NO_TIME_LEFT = "no time left"
 PROCESS_OVERLOADED = "this driver carries {pending} requests and can no more"
--- a/sedgepitch/node/proxy.py
+++ b/sedgepitch/node/proxy.py
@@ -9,11 +9,13 @@
 from sedgepitch.core.connection_pool import PoolLimits
 from sedgepitch.core.engine import Engine
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
+from sedgepitch.decisions.connections.process_memory_shares import share_memory
 from sedgepitch.decisions.connections.receive_budget import ReceiveBudget
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.decisions.discovery.list_versions import EndpointListVersions, ListVersion
 from sedgepitch.discovery.client import DiscoveryClient
 from sedgepitch.net.listener import Listener, listen
+from sedgepitch.net.process_memory import private_bytes
 from sedgepitch.net.twisted_types import Reactor
 from sedgepitch.node.accept_failure_log import AcceptFailureLog
 from sedgepitch.node.config import NodeConfig
@@ -54,6 +56,7 @@
         self.log = log
         self.clock = ReactorClock(reactor)
         self.descriptors = DescriptorBudget(config.sockets)
+        self.memory = share_memory(config.memory * BYTES_PER_MB, private_bytes())
         self.list_versions = EndpointListVersions()
         self.upstream = self._make_upstream(unix_offset)
         self.engine = Engine(
@@ -66,7 +69,7 @@
             on_callback_error=self._callback_failed,
         )
         self.clients = ClientListener(
-            self.engine, self.clock, self.engine.classes, unix_offset, self.descriptors
+            self.engine, self.clock, self.engine.classes, unix_offset, self.descriptors, self.memory
         )
         self.clients.closes.report = self._client_closed
         self.discovery = DiscoveryClient(
--- a/sedgepitch/node/runtime_statistics.py
+++ b/sedgepitch/node/runtime_statistics.py
@@ -44,6 +44,10 @@
     callback_errors: int  # above 0 indicates a defect
     cpu_s: float  # CPU time of the process
     private_memory_mb: float  # now
+    client_bytes: int  # now: input, pending statements and responses that client connections hold
+    client_bytes_max: int  # now: the budget for these
+    buffers_reclaimed: int  # times that a client connection had to give back what it held
+    rejected_for_memory: int  # statements
 
     def log_fields(self) -> dict[str, object]:
         """Return the fields for a log event, in order of declaration."""
@@ -87,4 +91,8 @@
         callback_errors=engine.callbacks.errors,
         cpu_s=round(time.process_time(), 2),
         private_memory_mb=round(private_bytes() / BYTES_PER_MB, 1),
+        client_bytes=clients.buffers.budget.total_bytes,
+        client_bytes_max=clients.buffers.budget.max_bytes,
+        buffers_reclaimed=clients.buffers.reclaimed,
+        rejected_for_memory=clients.buffers.rejected,
     )
--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -14,15 +14,23 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
+from sedgepitch.core import reasons
 from sedgepitch.core.request_table import PendingRequest
 from sedgepitch.net import socket_state
 from sedgepitch.protocols.common.client_side import NumberingFactory, WritePressure
-from sedgepitch.protocols.common.transports import arrival_time
+from sedgepitch.protocols.common.transports import arrival_time, unsent_bytes
 from sedgepitch.protocols.postgresql import codec
 from sedgepitch.protocols.postgresql.client_listener import ClientListener
 from sedgepitch.protocols.postgresql.client_state import BUSY_STATES, READING_STATES, ClientState
-from sedgepitch.protocols.postgresql.close_reasons import CloseReason, CloseReport, reason_of_loss
+from sedgepitch.protocols.postgresql.close_reasons import (
+    CloseDecision,
+    CloseReason,
+    CloseReport,
+    reason_of_loss,
+)
 from sedgepitch.protocols.postgresql.codec import MalformedMessage, Reader
+from sedgepitch.protocols.postgresql.startup import start_up
+from sedgepitch.protocols.postgresql.statements import Statement
 
 DRAIN_BYTES_MAX = 256 * 1024  # read and discarded after an error, so that the error arrives
 DRAIN_TIME_MAX_S = 0.5
@@ -43,15 +51,14 @@
         self.state = ClientState.STARTUP
         self.reader = Reader(codec.FROM_CLIENT)
         self.request: PendingRequest | None = None
+        self.statement: Statement | None = None  # of the pending request
         self.write_blocked = False
         self.reads_paused = False
+        self.aborted = False
         self.discarded_bytes = 0  # received in state CLOSING
         self.message_started_at = 0.0  # arrival time of the first buffered byte
         self.accepted_at = listener.clock.now()
-        self.close_reason: CloseReason | None = None  # the first reason recorded by the proxy
-        self.closed_from = ClientState.CLOSING  # the state at that time, as are the next two
-        self.missing_bytes = 0
-        self.socket_bytes = 0
+        self.close_decision: CloseDecision | None = None  # the first one of the proxy
 
     # Reading
 
@@ -67,6 +74,7 @@
                 return
         self.transport.set_no_delay()
         self.transport.registerProducer(WritePressure(self), True)
+        listener.buffers.opened(self)
         listener.activity.accepted(self, now)
 
     def dataReceived(self, data: bytes) -> None:
@@ -80,13 +88,14 @@
         arrived = arrival_time(self.transport)
         if arrived and not self.reads_paused:
             listener.engine.record_wait(self.transport.read_delay(now), now)
-        if not self.reader.buffered_bytes:
+        if not self.reader.has_input:
             self.message_started_at = arrived or now
             listener.activity.bytes_received(self)
         self.reader.feed(data)
         self.advance()
         if (self.write_blocked or self.state in BUSY_STATES) and not self.reads_paused:
             listener.read_ahead.limit(self)
+        listener.buffers.changed(self)
 
     def _discard_input(self, data: bytes) -> None:
         self.discarded_bytes += len(data)
@@ -114,9 +123,12 @@
 
     def _next_message(self) -> None:
         if self.state is ClientState.STARTUP:
-            self._start_up()
+            start_up(self)
         if self.state is not ClientState.READY:
             return
+        if self.reader.skipped:
+            self._reject_skipped()
+            return
         if self.listener.rejects_statements():
             self._reject_statements()
             return
@@ -151,19 +163,13 @@
         elif responses:
             self.finish_statement()
 
-    def _start_up(self) -> None:
-        while (message := self.reader.startup()) is not None:
-            code, body = message
-            if code == codec.CANCEL_REQUEST:
-                self.end(CloseReason.TERMINATED)
-                return
-            if code in (codec.SSL_REQUEST, codec.GSS_REQUEST):
-                self.transport.write(b"N")
-                continue
-            codec.startup_parameters(body)
-            self.state = ClientState.READY
-            self.transport.write(codec.STARTUP_RESPONSE + codec.key_data(self.number) + codec.READY)
-            return
+    def _reject_skipped(self) -> None:
+        """Reject the statements that were dropped for lack of memory, up to REJECTIONS_PER_TURN."""
+        count = min(self.reader.skipped, REJECTIONS_PER_TURN)
+        self.reader.skipped -= count
+        self.listener.buffers.rejected += count
+        self.transport.write(count * self.listener.statements.memory_rejection())
+        self.finish_statement()
 
     def _note_activity(self) -> None:
         """Record whether this client is idle or has sent an incomplete message.
@@ -174,7 +180,7 @@
             return
         listener = self.listener
         now = listener.clock.now()
-        if self.state is ClientState.STARTUP or self.reader.buffered_bytes:
+        if self.state is ClientState.STARTUP or self.reader.has_input:
             listener.activity.message_incomplete(self, now)
             return
         evicted = listener.activity.became_idle(self, now)
@@ -183,15 +189,18 @@
 
     # Statements
 
-    def begin_request(self) -> None:
+    def begin_request(self, statement: Statement) -> None:
         """Enter EXECUTING: the statement has become a pending request."""
         self.state = ClientState.EXECUTING
+        self.statement = statement
         self.listener.activity.request_started(self)
 
     def send_response(self, message: bytes) -> None:
         """Send the response of the pending request."""
+        self.statement = None
         self.transport.write(message)
         self.finish_statement()
+        self.listener.buffers.changed(self)
         if self.state is ClientState.READY:
             self.listener.clock.soon(self._advance_if_open)
 
@@ -201,7 +210,7 @@
         Late in a shutdown the connection is closed at once: a client may send its next request as soon as it
         has the response, and would never be found idle by a periodic check.
         """
-        if self.reader.buffered_bytes:
+        if self.reader.has_input:
             self.state = ClientState.YIELDING
             self.listener.activity.request_started(self)  # neither idle nor slow while it waits its turn
             self.listener.clock.soon(self._end_yield)
@@ -232,8 +241,30 @@
         """Resume execution: all buffered responses have been sent."""
         self.write_blocked = False
         self.listener.activity.write_resumed(self)
+        self.listener.buffers.changed(self)
         self.advance()
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of buffered input and unsent responses; none once the connection is aborted."""
+        return 0 if self.aborted else self.reader.memory_bytes + unsent_bytes(self.transport)
+
+    def give_back_memory(self) -> None:
+        """Drop the buffered input, or abort if most of what is held are responses that are not read.
+
+        The statements in the input are rejected when their turn comes; an incomplete one is read to its end
+        for that, without being buffered.
+        """
+        if unsent_bytes(self.transport) > self.reader.memory_bytes:
+            self.abort(CloseReason.RESPONSE_NOT_READ)
+        elif self.state is ClientState.STARTUP:
+            message = codec.error(SQLSTATE_CANNOT_CONNECT_NOW, reasons.OUT_OF_MEMORY, fatal=True)
+            self.end(CloseReason.OUT_OF_MEMORY, message)
+        else:
+            self.reader.skip_input()
+            if self.state is ClientState.READY:
+                self.listener.clock.soon(self._advance_if_open)
+
     # Closing
 
     def time_out(self) -> None:
@@ -253,7 +284,7 @@
             return
         if not socket_state.is_open_and_idle(self.transport):
             return
-        if not self.reader.buffered_bytes:
+        if not self.reader.has_input:
             self.end(CloseReason.SHUTDOWN)
         elif last:
             message = codec.error(SQLSTATE_CANNOT_CONNECT_NOW, "this driver ends", fatal=True)
@@ -263,7 +294,9 @@
         """Return whether a statement was read, also one that is still buffered, and has no answer yet."""
         if self.state in BUSY_STATES:
             return True
-        return self.state is ClientState.READY and self.reader.has_complete_message
+        return self.state is ClientState.READY and bool(
+            self.reader.skipped or self.reader.has_complete_message
+        )
 
     def has_waiting_statement(self) -> bool:
         """Return whether the client, if it reads its responses, has sent a statement without an answer."""
@@ -296,18 +329,21 @@
     def abort(self, reason: CloseReason) -> None:
         """Close at once, with a reset."""
         self._note_close_reason(reason)
+        self.aborted = True
+        self.listener.buffers.closed(self)
         self.transport.abortConnection()
 
     def _abort_if_open(self) -> None:
         if self in self.listener.connections:
+            self.aborted = True
             self.transport.abortConnection()
 
     def _note_close_reason(self, reason: CloseReason) -> None:
-        if self.close_reason is None:
-            self.close_reason = reason
-            self.closed_from = self.state
-            self.missing_bytes = self.reader.missing_bytes
-            self.socket_bytes = socket_state.unread_bytes(self.transport)
+        if self.close_decision is None:
+            unread_bytes = socket_state.unread_bytes(self.transport)
+            self.close_decision = CloseDecision(
+                reason, self.state.value, self.reader.missing_bytes, unread_bytes
+            )
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Count and report the close, release the connection's resources and cancel its request."""
@@ -317,22 +353,24 @@
         listener.connections.discard(self)
         listener.activity.closed(self)
         listener.read_ahead.forget(self)
+        listener.buffers.closed(self)
         listener.descriptors.client_closed()
         self._cancel_request()
 
     def _close_report(self, failure: Failure) -> CloseReport:
         request = self.request
+        decision = self.close_decision or CloseDecision(reason_of_loss(failure))
         return CloseReport(
             number=self.number,
-            reason=self.close_reason or reason_of_loss(failure),
+            reason=decision.reason,
             detail=failure.getErrorMessage(),
             request=request.request.payload.id.decode("ascii", "replace") if request is not None else "",
             attempts=request.attempt_count if request is not None else 0,
             unexecuted_bytes=self.reader.buffered_bytes,
             duration=self.listener.clock.now() - self.accepted_at,
-            state=self.closed_from.value,
-            missing_bytes=self.missing_bytes,
-            socket_bytes=self.socket_bytes,
+            state=decision.state,
+            missing_bytes=decision.missing_bytes,
+            socket_bytes=decision.socket_bytes,
         )
 
     def _cancel_request(self) -> None:
@@ -340,6 +378,9 @@
         if request is not None:
             self.listener.open_request_ids.pop(request.request.payload.id, None)
             self.listener.engine.client_disconnected(request)
+        statement, self.statement = self.statement, None
+        if statement is not None:
+            self.listener.buffers.statement_ended(statement)
 
 
 def _statement_text(kind: bytes, raw: bytes) -> bytes | None:
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -8,11 +8,14 @@
 from sedgepitch.core.engine import Engine
 from sedgepitch.core.types import NEVER, Clock
 from sedgepitch.decisions.connections.client_connections import ClientConnections
+from sedgepitch.decisions.connections.client_memory import ClientMemoryBudget
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
 from sedgepitch.decisions.connections.loop_activity import LoopActivity
+from sedgepitch.decisions.connections.process_memory_shares import MemoryShares
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.net import socket_state
 from sedgepitch.protocols.postgresql.answer_log import AnswerLog
+from sedgepitch.protocols.postgresql.client_buffers import ClientBuffers
 from sedgepitch.protocols.postgresql.close_reasons import CloseLog, CloseReason
 from sedgepitch.protocols.postgresql.read_ahead import ReadAhead
 from sedgepitch.protocols.postgresql.statement_handler import StatementHandler
@@ -21,6 +24,7 @@
 if TYPE_CHECKING:
     from sedgepitch.protocols.postgresql.client import ClientConnection
 
+UNLIMITED_MEMORY = MemoryShares()
 CHECK_INTERVAL_S = 0.1  # between checks for timed-out clients and for disconnects on paused sockets
 
 
@@ -37,6 +41,7 @@
         classes: Mapping[str, RequestClass],
         unix_offset: float,
         descriptors: DescriptorBudget,
+        memory: MemoryShares = UNLIMITED_MEMORY,
     ) -> None:
         """Start without connections and schedule the periodic check."""
         self.engine = engine
@@ -51,6 +56,10 @@
         self.activity: ClientConnections[ClientConnection] = ClientConnections(descriptors.max_clients)
         self.open_request_ids: dict[bytes, ClientConnection] = {}
         self.read_ahead = ReadAhead()
+        budget: ClientMemoryBudget[ClientConnection] = ClientMemoryBudget(
+            memory.client_bytes, memory.high_use_bytes
+        )
+        self.buffers = ClientBuffers(budget, clock, self.connections)
         self.closes = CloseLog()
         self.answers = AnswerLog()
         self.accepted = 0
@@ -72,6 +81,7 @@
         self.clock.after_reading(self._check, now)
 
     def _check(self, at: float) -> None:
+        self.buffers.observe_process()
         for connection in self.activity.remove_timed_out(at):
             connection.time_out()
         for connection in list(self.read_ahead.paused):
--- a/sedgepitch/protocols/postgresql/close_reasons.py
+++ b/sedgepitch/protocols/postgresql/close_reasons.py
@@ -28,6 +28,7 @@
     INPUT_TIMEOUT = "too_slow"  # sent nothing, or an incomplete message, until the timeout
     RESPONSE_NOT_READ = "not_taken"  # the client did not read its response until the timeout
     FLOODED = "flooded"  # sent too much input after an error
+    OUT_OF_MEMORY = "out_of_memory"  # incomplete start-up message, while clients hold too much memory
     SHUTDOWN = "shutdown"
     INTERNAL_ERROR = "fault"  # an exception in the proxy
 
@@ -40,6 +41,16 @@
 ROUTINE_REASONS = frozenset({CloseReason.TERMINATED, CloseReason.IDLE_LIMIT, CloseReason.SHUTDOWN})
 
 
+@dataclass(frozen=True, slots=True)
+class CloseDecision:
+    """Why the proxy closes a connection, and what the connection had received then."""
+
+    reason: CloseReason
+    state: str = ""
+    missing_bytes: int = 0  # of an incomplete message, as its header announces
+    socket_bytes: int = 0  # in the socket, not read
+
+
 @dataclass(frozen=True, slots=True)
 class CloseReport:
     """One closed client connection, as logged."""
--- a/sedgepitch/protocols/postgresql/codec.py
+++ b/sedgepitch/protocols/postgresql/codec.py
@@ -69,7 +69,7 @@
 class Reader:
     """Splits a byte stream into messages; `bounds` maps each accepted type to its maximum length in bytes."""
 
-    __slots__ = ("_buffer", "_held", "_more", "_offset", "_want", "bounds")
+    __slots__ = ("_buffer", "_held", "_more", "_offset", "_skip", "_want", "bounds", "skipped")
 
     def __init__(self, bounds: Mapping[bytes, int]) -> None:
         """Start with an empty buffer."""
@@ -79,9 +79,13 @@
         self._more = bytearray()  # received since the last join, not yet part of the buffer
         self._held = 0  # bytes received and not yet returned
         self._want = HEADER_BYTES  # minimum number of bytes for the next message to be complete
+        self._skip = 0  # bytes to drop as they come: the rest of a message
+        self.skipped = 0  # messages dropped by `skip_input`, which the owner has to answer and reset
 
     def feed(self, data: bytes) -> None:
         """Append received bytes; they are copied into one buffer only once a message may be complete."""
+        if self._skip:
+            data = self._drop(data)
         if self._held:
             self._more += data
         else:
@@ -94,10 +98,51 @@
         """Return how many bytes are buffered."""
         return self._held
 
+    @property
+    def memory_bytes(self) -> int:
+        """Return how many bytes of memory the buffered input uses."""
+        return len(self._buffer) + len(self._more)
+
+    @property
+    def has_input(self) -> bool:
+        """Return whether any message has been received in part, or was received and has no answer."""
+        return bool(self._held or self._skip or self.skipped)
+
     @property
     def missing_bytes(self) -> int:
         """Return how many bytes of the next message, as far as its header tells, have not been received."""
-        return max(0, self._want - self._held) if self._held else 0
+        return self._skip or (max(0, self._want - self._held) if self._held else 0)
+
+    def skip_input(self) -> None:
+        """Drop the buffered messages and, as it comes, the rest of an incomplete one; `skipped` counts them.
+
+        A header that has not arrived in full is kept, and so is anything but a statement, with what follows.
+        """
+        try:
+            while self._held >= HEADER_BYTES:
+                kind, length = self._read_header()
+                if kind != QUERY:
+                    break
+                size = length + 1
+                if self._held < size:
+                    self._skip = size - self._held
+                    self._consume(self._offset + self._held)
+                    break
+                self._consume(self._offset + size)
+                self.skipped += 1
+        except MalformedMessage:
+            pass  # reported when its turn comes
+        self._want = HEADER_BYTES
+        self._buffer = self._join()[self._offset :]
+        self._offset = 0
+
+    def _drop(self, data: bytes) -> bytes:
+        """Drop the rest of a skipped message; return what follows it."""
+        dropped = min(len(data), self._skip)
+        self._skip -= dropped
+        if not self._skip:
+            self.skipped += 1
+        return data[dropped:]
 
     @property
     def has_complete_message(self) -> bool:
@@ -116,6 +161,8 @@
         self._more = bytearray()
         self._held = 0
         self._want = HEADER_BYTES
+        self._skip = 0
+        self.skipped = 0
 
     def _join(self) -> bytes:
         if self._more:
--- a/sedgepitch/protocols/postgresql/read_ahead.py
+++ b/sedgepitch/protocols/postgresql/read_ahead.py
@@ -4,7 +4,7 @@
 none because its client does not read its responses, which a timeout ends. Reading resumes once the buffer has
 drained, or once no complete message is left in it: a statement may be longer than what counts as drained,
 and its rest is still in the socket. A connection therefore buffers at most its limit, or one incomplete
-message if that is longer, plus one read.
+message if that is longer, plus one read. Under memory pressure (`client_buffers.py`) the limit is 0.
 
 The end of a client's stream is queued behind all data that it has sent, so a disconnect is not seen while the
 kernel's buffers are full. A few clients therefore get a larger limit, so that their disconnects are noticed.
@@ -38,10 +38,11 @@
     def limit(self, connection: ClientConnection) -> None:
         """Pause reading from a client above its limit; up to EXTENDED_CLIENTS_MAX get the larger one."""
         buffered = connection.reader.buffered_bytes
-        if buffered <= READ_AHEAD_BYTES:
+        under_pressure = connection.listener.buffers.under_pressure
+        if buffered <= (0 if under_pressure else READ_AHEAD_BYTES):
             return
         may_extend = connection in self.extended or len(self.extended) < EXTENDED_CLIENTS_MAX
-        if buffered <= EXTENDED_READ_AHEAD_BYTES and may_extend:
+        if buffered <= EXTENDED_READ_AHEAD_BYTES and may_extend and not under_pressure:
             self.extended.add(connection)
             return
         connection.reads_paused = True
@@ -54,7 +55,8 @@
         To be called after a complete message, if there is one, was taken from the buffer: a connection that
         is in a reading state then awaits input.
         """
-        drained = connection.reader.buffered_bytes <= DRAINED_BYTES
+        under_pressure = connection.listener.buffers.under_pressure
+        drained = connection.reader.buffered_bytes <= (0 if under_pressure else DRAINED_BYTES)
         if drained:
             self.extended.discard(connection)
         if not connection.reads_paused or connection.state is ClientState.CLOSING:
--- a/sedgepitch/protocols/postgresql/statement_handler.py
+++ b/sedgepitch/protocols/postgresql/statement_handler.py
@@ -21,6 +21,7 @@
 ANSWER_MARGIN_S = 0.015  # from the engine's deadline to the client's; longer than a timer tick
 DISCONNECT_CHECK_AFTER_S = 0.05  # a statement read later than this is checked for a disconnect
 REQUIRED_AGE_MIN_S = 1e-6  # least age sent for a session's last write: 0 would mean that there was none
+MEMORY_RETRY_AFTER_S = 0.2  # pending statements and slow clients need about that long to give memory back
 EMPTY_STATEMENT_CHARS = b" \t\r\n;"
 SQLSTATE_REJECTED = "53300"  # too_many_connections: nothing ran, the client may retry
 SQLSTATE_FAILED = "58000"  # system_error: the statement may have run
@@ -64,6 +65,12 @@
         self._listener.rejected_for_shutdown += 1
         return SHUTDOWN_REJECTION
 
+    def memory_rejection(self) -> bytes:
+        """Return the response to a statement that there is no memory for."""
+        retry_after_ms = round(min(MEMORY_RETRY_AFTER_S, self._listener.retry_after_max) * codec.MS_PER_S)
+        detail = str(retry_after_ms) if retry_after_ms else ""
+        return codec.error(SQLSTATE_REJECTED, reasons.OUT_OF_MEMORY, detail) + codec.READY
+
     def _is_id_free(self, request_id: bytes) -> bool:
         """Return whether no open request has this id.
 
@@ -89,12 +96,17 @@
             listener.disconnects_found_late += 1
             connection.abandon()
             return
+        if not listener.buffers.admit(statement):
+            connection.transport.write(self.memory_rejection())
+            connection.finish_statement()
+            return
         request = self._client_request(connection, statement, now, arrived)
-        connection.begin_request()
+        connection.begin_request(statement)
         listener.open_request_ids[statement.id] = connection
 
         def respond(response: Response) -> None:
             connection.request = None
+            listener.buffers.statement_ended(statement)
             listener.open_request_ids.pop(statement.id, None)
             listener.answers.answered(response)
             connection.send_response(self._response_message(response))
--- a/sedgepitch/protocols/postgresql/statements.py
+++ b/sedgepitch/protocols/postgresql/statements.py
@@ -68,6 +68,15 @@
     tail: bytes
     deadline: float = 0.0  # time of the clock in s; set when the request is submitted
 
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes of the text."""
+        return len(self.head) + len(self.tail)
+
+    def discard_text(self) -> None:
+        """Drop the text: the request has its answer, so no further attempt is made."""
+        self.head = self.tail = b""
+
     def text(self, now: float) -> bytes:
         """Return the text to send to an endpoint, with `d` set to the time left at `now` (1 ms at least)."""
         return b"%b%d%b" % (self.head, max(1, round((self.deadline - now) * MS_PER_S)), self.tail)
--- a/tests/support/postgresql_harness.py
+++ b/tests/support/postgresql_harness.py
@@ -11,9 +11,10 @@
 from sedgepitch.core.engine import Engine
 from sedgepitch.core.types import AttemptOutcome
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
+from sedgepitch.decisions.connections.process_memory_shares import MemoryShares
 from sedgepitch.protocols.postgresql import codec
 from sedgepitch.protocols.postgresql.client import ClientConnection
-from sedgepitch.protocols.postgresql.client_listener import ClientListener
+from sedgepitch.protocols.postgresql.client_listener import UNLIMITED_MEMORY, ClientListener
 from sedgepitch.protocols.postgresql.codec import Reader
 from sedgepitch.routing import messages as api
 from sedgepitch.routing.router import Router
@@ -83,7 +84,9 @@
 class PostgresqlProxy:
     """One engine with three stubbed endpoints (endpoint 1 is the primary)."""
 
-    def __init__(self, settings: api.Settings = SETTINGS, sockets: int = 0) -> None:
+    def __init__(
+        self, settings: api.Settings = SETTINGS, sockets: int = 0, memory: MemoryShares = UNLIMITED_MEMORY
+    ) -> None:
         self.task = Clock()
         self.task.advance(1000.0)
         self.clock = FakeClock(self.task)
@@ -92,7 +95,9 @@
         entries = (entry(1, primary=True), entry(2), entry(3))
         self.engine.list_changed(api.EndpointListUpdate(entries, complete=True))
         self.descriptors = DescriptorBudget(sockets)
-        self.listener = ClientListener(self.engine, self.clock, self.engine.classes, WALL, self.descriptors)
+        self.listener = ClientListener(
+            self.engine, self.clock, self.engine.classes, WALL, self.descriptors, memory
+        )
         self.clients = 0
 
     def client(self, greet: bool = True) -> tuple[ClientConnection, Wire]:
