A write whose id comes again is not executed again

Each request has a new id, so one that comes again is no new request. Now the ids of requests that had an attempt and whose class is not idempotent are remembered for 30 s, the latest 4,096 of them; such a statement gets the error of an id that is open (42710). Reads, and requests without any attempt, are not concerned.

--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -375,12 +375,10 @@
 
     def _cancel_request(self) -> None:
         request, self.request = self.request, None
-        if request is not None:
-            self.listener.open_request_ids.pop(request.request.payload.id, None)
-            self.listener.engine.client_disconnected(request)
         statement, self.statement = self.statement, None
-        if statement is not None:
-            self.listener.buffers.statement_ended(statement)
+        if request is not None and statement is not None:
+            self.listener.engine.client_disconnected(request)
+            self.listener.request_ended(statement, request)
 
 
 def _statement_text(kind: bytes, raw: bytes) -> bytes | None:
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -6,12 +6,14 @@
 from typing import TYPE_CHECKING
 
 from sedgepitch.core.engine import Engine
+from sedgepitch.core.request_table import PendingRequest
 from sedgepitch.core.types import NEVER, Clock
 from sedgepitch.decisions.connections.client_connections import ClientConnections
 from sedgepitch.decisions.connections.client_memory import ClientMemoryBudget
 from sedgepitch.decisions.connections.descriptor_budget import DescriptorBudget
 from sedgepitch.decisions.connections.loop_activity import LoopActivity
 from sedgepitch.decisions.connections.process_memory_shares import MemoryShares
+from sedgepitch.decisions.connections.recent_request_ids import RecentRequestIds
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.net import socket_state
 from sedgepitch.protocols.postgresql.answer_log import AnswerLog
@@ -19,7 +21,8 @@
 from sedgepitch.protocols.postgresql.close_reasons import CloseLog, CloseReason
 from sedgepitch.protocols.postgresql.read_ahead import ReadAhead
 from sedgepitch.protocols.postgresql.statement_handler import StatementHandler
-from sedgepitch.routing.messages import RequestClass
+from sedgepitch.protocols.postgresql.statements import Statement
+from sedgepitch.routing.messages import Idempotency, RequestClass
 
 if TYPE_CHECKING:
     from sedgepitch.protocols.postgresql.client import ClientConnection
@@ -55,6 +58,7 @@
         self.connections: set[ClientConnection] = set()
         self.activity: ClientConnections[ClientConnection] = ClientConnections(descriptors.max_clients)
         self.open_request_ids: dict[bytes, ClientConnection] = {}
+        self.recent_request_ids = RecentRequestIds()
         self.read_ahead = ReadAhead()
         budget: ClientMemoryBudget[ClientConnection] = ClientMemoryBudget(
             memory.client_bytes, memory.high_use_bytes
@@ -90,6 +94,20 @@
                 connection.abandon()
         self.clock.call_later(CHECK_INTERVAL_S, self._check_due)
 
+    # Request ids
+
+    def request_ended(self, statement: Statement, pending: PendingRequest | None) -> None:
+        """Release the id and the text of a request that was answered or whose client has left.
+
+        If an attempt may have taken effect, its id is remembered. `pending` is None for a request that was
+        answered at once, without an attempt.
+        """
+        self.open_request_ids.pop(statement.id, None)
+        self.buffers.statement_ended(statement)
+        has_effect = statement.cls.idempotency is not Idempotency.IDEMPOTENT
+        if pending is not None and pending.attempt_count and has_effect:
+            self.recent_request_ids.add(statement.id, self.clock.now())
+
     # Eviction
 
     def evict_for(self, new_connection: ClientConnection, now: float) -> ClientConnection:
--- a/sedgepitch/protocols/postgresql/statement_handler.py
+++ b/sedgepitch/protocols/postgresql/statement_handler.py
@@ -49,8 +49,7 @@
         listener.engine.before_reading()
         try:
             statement = statements.read(text, listener.classes)
-            if not self._is_id_free(statement.id):
-                raise StatementError("id: a request of this id is open", SQLSTATE_DUPLICATE_ID)
+            self._check_id(statement.id)
         except StatementError as error:
             listener.bad_statements += 1
             connection.transport.write(codec.error(error.code, str(error)) + codec.READY)
@@ -71,22 +70,21 @@
         detail = str(retry_after_ms) if retry_after_ms else ""
         return codec.error(SQLSTATE_REJECTED, reasons.OUT_OF_MEMORY, detail) + codec.READY
 
-    def _is_id_free(self, request_id: bytes) -> bool:
-        """Return whether no open request has this id.
+    def _check_id(self, request_id: bytes) -> None:
+        """Raise StatementError if a request of this id is open, or has run and may have taken effect.
 
         An open request without any attempt whose client has disconnected is abandoned, which frees its id.
         """
-        owner = self._listener.open_request_ids.get(request_id)
+        listener = self._listener
+        if listener.recent_request_ids.contains(request_id, listener.clock.now()):
+            raise StatementError("id: a request of this id has run", SQLSTATE_DUPLICATE_ID)
+        owner = listener.open_request_ids.get(request_id)
         if owner is None:
-            return True
-        if (
-            owner.request is None
-            or owner.request.attempt_count
-            or not socket_state.peer_has_closed(owner.transport)
-        ):
-            return False
+            return
+        may_run = owner.request is None or owner.request.attempt_count
+        if may_run or not socket_state.peer_has_closed(owner.transport):
+            raise StatementError("id: a request of this id is open", SQLSTATE_DUPLICATE_ID)
         owner.abandon()
-        return True
 
     def _submit(self, connection: ClientConnection, statement: Statement) -> None:
         listener = self._listener
@@ -105,9 +103,8 @@
         listener.open_request_ids[statement.id] = connection
 
         def respond(response: Response) -> None:
-            connection.request = None
-            listener.buffers.statement_ended(statement)
-            listener.open_request_ids.pop(statement.id, None)
+            pending, connection.request = connection.request, None
+            listener.request_ended(statement, pending)
             listener.answers.answered(response)
             connection.send_response(self._response_message(response))
 
--- a/sedgepitch/scenarios/soak/misbehaving_clients.py
+++ b/sedgepitch/scenarios/soak/misbehaving_clients.py
@@ -10,6 +10,7 @@
 import contextlib
 import itertools
 import random
+import socket
 import struct
 import time
 from collections.abc import Callable, Coroutine
@@ -36,6 +37,8 @@
 UNREAD_UPLOADS = 40
 PIPELINED_BEFORE_LEAVING = 400
 LEAVE_AFTER_S = (0.0, 0.15)
+UNREAD_WRITES, UNREAD_VALUE_BYTES = 500, 1500  # 1.5 MB of statements
+LEAVE_UNREAD_AFTER_S = (0.02, 0.4)
 RETURN_AFTER_S = (0.0, 0.1)
 SSL_REQUEST = struct.pack("!ii", codec.STARTUP_HEADER_BYTES, codec.SSL_REQUEST)
 STARTUP = codec.startup("web", "orders")
@@ -60,7 +63,8 @@
     LARGE_UNSOUND_STATEMENTS = "large_unsound_statements"  # many: large values of an unknown class
     NEW_NAMES = "new_names"  # one connection: reads whose names are always new
     BAD_CONNECTIONS = "bad_connections"  # a new connection for each malformed message
-    DISCONNECTS = "disconnects"  # clients that leave much unread, and come again with the same ids
+    DISCONNECTS = "disconnects"  # clients that leave, and come again with the same ids
+    UNREAD_DISCONNECTS = "unread_disconnects"  # clients that leave while much of what they sent is unread
 
 
 MISBEHAVING = tuple(kind for kind in CrowdKind if kind is not CrowdKind.MIXED)
@@ -71,6 +75,7 @@
     CrowdKind.NEW_NAMES: 1,
     CrowdKind.BAD_CONNECTIONS: 4,
     CrowdKind.DISCONNECTS: 20,
+    CrowdKind.UNREAD_DISCONNECTS: 40,
     CrowdKind.UNREAD_RESPONSES: 60,
     CrowdKind.LARGE_UNSOUND_STATEMENTS: 60,
 }
@@ -106,6 +111,7 @@
             CrowdKind.NEW_NAMES: self._flood_with_new_names,
             CrowdKind.BAD_CONNECTIONS: self._open_bad_connections,
             CrowdKind.DISCONNECTS: self._leave_and_return,
+            CrowdKind.UNREAD_DISCONNECTS: self._leave_much_unread,
         }
         clients = [self._repeat(behaviours[kind]) for _ in range(CLIENTS.get(kind, DEFAULT_CLIENTS))]
         await asyncio.wait([asyncio.create_task(client) for client in clients], timeout=duration)
@@ -286,3 +292,23 @@
             await asyncio.wait_for(self._read_to_the_end(reader), 2.0 * DEADLINE_S)
         finally:
             writer.close()
+
+    async def _leave_much_unread(self) -> None:
+        """Pipeline more than the proxy reads ahead, and leave while it is unread."""
+        writes = [self._new_id() for _ in range(UNREAD_WRITES)]
+        _, writer = await self._open()
+        value = "ab" * UNREAD_VALUE_BYTES
+        for rid in writes:
+            writer.write(codec.query(statement(KEYED_WRITE, rid, DEADLINE_S, f"5c0f{rid}", value)))
+        await asyncio.sleep(self.rng.uniform(*LEAVE_UNREAD_AFTER_S))
+        writer.transport.abort() if self.rng.random() < 1.0 / 2.0 else _shut_down(writer)
+        left_at = time.monotonic()
+        for rid in writes:
+            self.record("left", rid=rid, t=left_at)
+
+
+def _shut_down(writer: asyncio.StreamWriter) -> None:
+    """Close without a reset: the end of the stream follows what the system has taken."""
+    connected = writer.get_extra_info("socket")
+    connected.shutdown(socket.SHUT_RDWR)
+    writer.transport.abort()
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -49,6 +49,7 @@
         )
         self._shared = SharedState(rng, self._record, script.longest_deadline, lambda: self._port)
         self._crowds = 0  # of misbehaving clients, so far
+        self._crowd_output: list[bytes] = []  # their records, read after the load
         self._crowd = Crowd(lambda: self._port, rng)
         self._own_delay = 0.0
         self._played: list[Step] = []
@@ -156,7 +157,7 @@
         finally:
             if process.returncode is None:
                 process.kill()
-        self._records += [json.loads(line) for line in output.splitlines()]
+        self._crowd_output.append(output)
 
     async def _restart(self, step: Step) -> None:
         self._platform.delay_notifications()
@@ -197,6 +198,7 @@
 
     def _judge(self, began: float) -> SoakResult:
         self._records += self._platform.notified
+        self._records += [json.loads(line) for output in self._crowd_output for line in output.splitlines()]
         verdict = Verdict(self._script, self._records, self._shared, began)
         findings = [*self._processes.findings, *self._task_errors]
         result = verdict.judge(self._processes.processes, findings, self._own_delay)
