No attempt begins for a client whose end lies behind unread input

Shown on a real process with servers that hang for 0.5 s: an attempt 0.1007 s after the close.

Now each attempt of a request that was read 0.02 s ago or more asks the system first, and a request whose client has left is cancelled; paused sockets are asked every 0.04 s, while there are any. An abandoned connection leaves the set of paused ones at once, so it is counted once. The new test failed before (a retry was sent).

--- a/sedgepitch/core/dispatch.py
+++ b/sedgepitch/core/dispatch.py
@@ -14,6 +14,7 @@
 if TYPE_CHECKING:
     from sedgepitch.core.engine import Engine
 
+CLIENT_CHECK_AFTER_S = 0.02  # from the reading of a request to an attempt that asks for its client
 DECISION_MAY_AGE = (Freshness.BOUNDED, Freshness.FRESH)
 """Reads whose endpoint may cease to qualify: it exceeds the staleness bound, or loses the primary role."""
 
@@ -97,6 +98,7 @@
         attempt = pending.attempt_count
         now = engine.clock.now()
         pending.attempt_count += 1
+        self._cancel_if_client_left(pending, now)
         if not pending.open:
             outcome = AttemptOutcome(AttemptResult.NOT_SENT)
             engine.completion.report_attempt(pending, attempt, action.endpoint, now, outcome)
@@ -106,6 +108,17 @@
             engine.intake.carry_out(engine.admission.sent(pending.id, now))
         self._hand_over(action, pending, attempt, now)
 
+    def _cancel_if_client_left(self, pending: PendingRequest, now: float) -> None:
+        """Cancel a request whose client has left, which shows late on a connection that is not being read.
+
+        A request that was read just now needs no check, which costs a system call.
+        """
+        client_left = pending.request.client_left
+        if not pending.open or client_left is None or now - pending.read_at < CLIENT_CHECK_AFTER_S:
+            return
+        if self.engine.callbacks.call("client_left", client_left):
+            self.engine.client_disconnected(pending)
+
     def _hand_over(self, action: api.SendAttempt, pending: PendingRequest, attempt: int, now: float) -> None:
         engine = self.engine
 
--- a/sedgepitch/core/types.py
+++ b/sedgepitch/core/types.py
@@ -39,6 +39,7 @@
     client: str = ""
     reservation_token: str = ""  # the same in each retry of the client; identifies the reservation's holder
     idempotency_key: str = ""  # the same in each retry of one request only; empty if the protocol has none
+    client_left: Callable[[], bool] | None = None  # asks the system whether the client has closed its side
 
 
 @dataclass(slots=True, eq=False)  # one per attempt; creating a frozen instance costs twice as much
--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -322,6 +322,7 @@
     def abandon(self) -> None:
         """Cancel the request of a client that disconnected before all of its input was read, and abort."""
         self._cancel_request()
+        self.listener.read_ahead.forget(self)
         self.state = ClientState.CLOSING
         self.reader = Reader({})
         self.abort(CloseReason.DISCONNECTED_UNREAD)
--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -28,7 +28,8 @@
     from sedgepitch.protocols.postgresql.client import ClientConnection
 
 UNLIMITED_MEMORY = MemoryShares()
-CHECK_INTERVAL_S = 0.1  # between checks for timed-out clients and for disconnects on paused sockets
+CHECK_INTERVAL_S = 0.1  # between checks for timed-out clients
+DISCONNECT_CHECK_INTERVAL_S = 0.04  # on paused sockets; no attempt may begin 0.1 s after its client has left
 
 
 class ClientListener:
@@ -74,6 +75,7 @@
         self.disconnects_found_late = 0  # clients found disconnected when their statement was about to run
         self.close_idle_from = NEVER  # connections without a request are closed from this time on
         self.answer_by = NEVER  # no request is pending after this time, when the process ends
+        self._disconnect_check_due = False
         self.loop_activity = LoopActivity(clock.now())
         clock.call_later(CHECK_INTERVAL_S, self._check_due)
 
@@ -88,11 +90,22 @@
         self.buffers.observe_process()
         for connection in self.activity.remove_timed_out(at):
             connection.time_out()
+        self.clock.call_later(CHECK_INTERVAL_S, self._check_due)
+
+    def reading_paused(self) -> None:
+        """Check the paused sockets for disconnects from now on, as long as there are any."""
+        if not self._disconnect_check_due:
+            self._disconnect_check_due = True
+            self.clock.call_later(DISCONNECT_CHECK_INTERVAL_S, self._check_paused)
+
+    def _check_paused(self) -> None:
+        self._disconnect_check_due = False
         for connection in list(self.read_ahead.paused):
             if socket_state.peer_has_closed(connection.transport):
                 self.disconnects_found_unread += 1
                 connection.abandon()
-        self.clock.call_later(CHECK_INTERVAL_S, self._check_due)
+        if self.read_ahead.paused:
+            self.reading_paused()
 
     # Request ids
 
--- a/sedgepitch/protocols/postgresql/read_ahead.py
+++ b/sedgepitch/protocols/postgresql/read_ahead.py
@@ -48,6 +48,7 @@
         connection.reads_paused = True
         self.paused.add(connection)
         connection.transport.pauseProducing()
+        connection.listener.reading_paused()
 
     def resume_if_possible(self, connection: ClientConnection) -> None:
         """Resume reading if the buffer has drained, or if the next message cannot be completed without input.
--- a/sedgepitch/protocols/postgresql/statement_handler.py
+++ b/sedgepitch/protocols/postgresql/statement_handler.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import TYPE_CHECKING
 
 from sedgepitch.core import reasons
@@ -139,6 +140,7 @@
             statement.session if freshness in SESSION_FRESHNESS else "",
             session_age,
             connection.number,
+            client_left=partial(socket_state.peer_has_closed, connection.transport),
         )
 
     def _response_message(self, response: Response) -> bytes:
--- a/tests/test_event_races.py
+++ b/tests/test_event_races.py
@@ -797,3 +797,18 @@
     proxy.advance_in_steps(2.0)
     assert [s.payload.id for s in proxy.endpoints.sent] == sent, "sent after the shutdown ended"
     assert proxy.descriptors.clients == sum(not c.disconnected for c in clients)
+
+
+# Guards against attempts for a client that left while its input was unread (a29244, picture c).
+def test_no_further_attempt_is_made_for_a_client_whose_end_is_still_unread():
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client()
+    connection.dataReceived(read(1))
+    proxy.turn()
+    sent = len(proxy.endpoints.sent)
+    proxy.turn(0.03)
+    wire.left = True  # its socket holds more than the proxy reads ahead, so the end is not seen
+    proxy.answer(result=AttemptResult.CONNECT_FAILED)
+    proxy.turn()
+    assert len(proxy.endpoints.sent) == sent == 1
+    assert not proxy.engine.request_table.pending
