--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -50,6 +50,7 @@
         self.number = number
         self.state = ClientState.STARTUP
         self.reader = Reader(codec.FROM_CLIENT)
+        self.refused_encryption: list[int] = []  # kinds that the client has asked for
         self.request: PendingRequest | None = None
         self.statement: Statement | None = None  # of the pending request
         self.write_blocked = False
--- a/tests/test_postgresql_client.py
+++ b/tests/test_postgresql_client.py
@@ -313,3 +313,30 @@
         (error,) = errors(wire)
         assert proxy.engine.answered_early == 1 and error["C"] == "53300"
         assert ("D" in error) is has_retry_after
+
+
+# Guards against thousands of requests for encryption in one read, each answered by a write (a29244).
+@pytest.mark.parametrize("kind", [codec.SSL_REQUEST, codec.GSS_REQUEST])
+def test_a_client_may_ask_once_for_each_kind_of_encryption(kind):
+    request = struct.pack("!ii", codec.STARTUP_HEADER_BYTES, kind)
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client(greet=False)
+    connection.dataReceived(8000 * request)
+    assert wire.value().count(b"N") < 10
+    assert errors_behind(wire, b"N") == ["08P01"] and wire.half_closed
+
+
+def test_a_client_may_ask_for_both_kinds_of_encryption_and_start():
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client(greet=False)
+    for kind in (codec.GSS_REQUEST, codec.SSL_REQUEST):
+        connection.dataReceived(struct.pack("!ii", codec.STARTUP_HEADER_BYTES, kind))
+    assert wire.value() == b"NN"
+    connection.dataReceived(codec.startup("web", "orders"))
+    assert wire.value().endswith(codec.READY) and not wire.half_closed
+
+
+def errors_behind(wire, answers: bytes) -> list[str]:
+    """Return the codes of the errors behind the answers to requests for encryption."""
+    error = wire.value()[len(answers) :]
+    return [codec.read_error(raw)["C"] for kind, raw in messages(error) if kind == codec.ERROR_RESPONSE]
