--- a/sedgepitch/protocols/postgresql/codec.py
+++ b/sedgepitch/protocols/postgresql/codec.py
@@ -16,6 +16,7 @@
 ROW_BYTES_MAX = 1024 * 1024  # of a value returned by an endpoint, which may exceed VALUE_BYTES_MAX
 STATEMENT_BYTES_MAX = 2 * VALUE_BYTES_MAX + 4096  # a value is written as two hexadecimal digits per byte
 STARTUP_BYTES_MAX = 10_000  # the limit of PostgreSQL itself
+STARTUP_PARAMETERS_MAX = 100  # client libraries send some ten
 HEADER_BYTES = 5  # type and length
 LENGTH_BYTES = 4  # included in the length itself
 STARTUP_HEADER_BYTES = 8  # length and code
@@ -243,6 +244,8 @@
 
 def startup_parameters(body: bytes) -> dict[str, str]:
     """Parse the parameters of a startup message; raises MalformedMessage."""
+    if body.count(b"\0") > 2 * STARTUP_PARAMETERS_MAX + 1:
+        raise MalformedMessage(f"more than {STARTUP_PARAMETERS_MAX} startup parameters")
     parts = strings(body)
     if not parts or parts[-1] or len(parts) % 2 != 1:
         raise MalformedMessage("startup parameters that do not come in pairs")
--- a/sedgepitch/protocols/postgresql/statements.py
+++ b/sedgepitch/protocols/postgresql/statements.py
@@ -119,7 +119,7 @@
 
 def _comment_fields(comment: bytes) -> dict[bytes, bytes]:
     fields: dict[bytes, bytes] = {}
-    for part in comment.split(b","):
+    for part in comment.split(b",", len(_COMMENT_NAMES)):
         name, equals, value = part.partition(b"=")
         if not equals or not value or name not in _COMMENT_NAMES or name in fields:
             raise StatementError("the comment must hold known names, each once, with a value")
--- a/tests/test_postgresql_codec.py
+++ b/tests/test_postgresql_codec.py
@@ -189,3 +189,18 @@
     assert statements.read(WRITE, NAMED).writes
     with pytest.raises(StatementError):
         statements.read(WRITE.replace(b"9f03", b"9f0"), NAMED)
+
+
+# Guards against start-up messages of very many short fields, which cost far more than their bytes (a29244).
+def test_a_startup_message_of_very_many_parameters_is_refused_without_being_parsed():
+    body = b"a\0\0" * 3000 + b"\0"
+    tracemalloc.start()
+    try:
+        with pytest.raises(MalformedMessage):
+            codec.startup_parameters(body)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert peak_bytes < len(body)
+    some = b"".join(b"name%d\0value\0" % number for number in range(codec.STARTUP_PARAMETERS_MAX))
+    assert len(codec.startup_parameters(some + b"\0")) == codec.STARTUP_PARAMETERS_MAX
