A request that crosses the close of an idle connection is left unread

Whether it was this close that lost the upload, the evidence cannot tell: suspected.

Now such a connection is not read any more: the request stays in the socket, the close resets the connection over it, and the client, whose request was not taken, sends it again. Behind an error input is discarded as before, so that the error arrives.

Shown: three of the new tests failed before. The budget's functions on a connection move to client_buffers.py.

--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -14,15 +14,15 @@
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.python.failure import Failure
 
-from sedgepitch.core import reasons
 from sedgepitch.core.request_table import PendingRequest
 from sedgepitch.net import socket_state
 from sedgepitch.protocols.common.client_side import NumberingFactory, WritePressure
-from sedgepitch.protocols.common.transports import arrival_time, unsent_bytes
+from sedgepitch.protocols.common.transports import arrival_time
 from sedgepitch.protocols.postgresql import codec
 from sedgepitch.protocols.postgresql.client_listener import ClientListener
 from sedgepitch.protocols.postgresql.client_state import BUSY_STATES, READING_STATES, ClientState
 from sedgepitch.protocols.postgresql.close_reasons import (
+    CLOSES_BETWEEN_REQUESTS,
     CloseDecision,
     CloseReason,
     CloseReport,
@@ -203,7 +203,7 @@
         self.finish_statement()
         self.listener.buffers.changed(self)
         if self.state is ClientState.READY:
-            self.listener.clock.soon(self._advance_if_open)
+            self.advance_soon()
 
     def finish_statement(self) -> None:
         """Leave EXECUTING after a response; pipelined statements are executed in a later event loop turn.
@@ -227,6 +227,10 @@
         self.message_started_at = self.listener.clock.now()  # the wait for earlier statements is not counted
         self._advance_if_open()
 
+    def advance_soon(self) -> None:
+        """Execute the next buffered message in a later event loop turn."""
+        self.listener.clock.soon(self._advance_if_open)
+
     def _advance_if_open(self) -> None:
         if self in self.listener.connections:
             self.advance()
@@ -245,27 +249,6 @@
         self.listener.buffers.changed(self)
         self.advance()
 
-    @property
-    def held_bytes(self) -> int:
-        """Return the bytes of buffered input and unsent responses; none once the connection is aborted."""
-        return 0 if self.aborted else self.reader.memory_bytes + unsent_bytes(self.transport)
-
-    def give_back_memory(self) -> None:
-        """Drop the buffered input, or abort if most of what is held are responses that are not read.
-
-        The statements in the input are rejected when their turn comes; an incomplete one is read to its end
-        for that, without being buffered.
-        """
-        if unsent_bytes(self.transport) > self.reader.memory_bytes:
-            self.abort(CloseReason.RESPONSE_NOT_READ)
-        elif self.state is ClientState.STARTUP:
-            message = codec.error(SQLSTATE_CANNOT_CONNECT_NOW, reasons.OUT_OF_MEMORY, fatal=True)
-            self.end(CloseReason.OUT_OF_MEMORY, message)
-        else:
-            self.reader.skip_input()
-            if self.state is ClientState.READY:
-                self.listener.clock.soon(self._advance_if_open)
-
     # Closing
 
     def time_out(self) -> None:
@@ -306,7 +289,11 @@
         return self._has_unanswered_statement() or not socket_state.is_open_and_idle(self.transport)
 
     def end(self, reason: CloseReason, last_message: bytes = b"") -> None:
-        """Send the last message, discard input for up to DRAIN_TIME_MAX_S so that it arrives, and close."""
+        """Send the last message, and close once the client has, or after DRAIN_TIME_MAX_S.
+
+        Meanwhile input is discarded, so that the message arrives. Without a message, input is left unread: a
+        request that crosses the close has not been taken, and its client sends it again elsewhere.
+        """
         listener = self.listener
         self._note_close_reason(reason)
         self.state = ClientState.CLOSING
@@ -316,12 +303,18 @@
         self.reader = Reader({})
         if hasattr(self.transport, "loseWriteConnection"):
             self.transport.loseWriteConnection()
-        if self.reads_paused:
+        if not last_message and reason in CLOSES_BETWEEN_REQUESTS:
+            listener.read_ahead.pause(self)
+        elif self.reads_paused:
             listener.read_ahead.resume(self)
         listener.clock.call_later(DRAIN_TIME_MAX_S, self._abort_if_open)
 
     def abandon(self) -> None:
         """Cancel the request of a client that disconnected before all of its input was read, and abort."""
+        if self.state is ClientState.CLOSING:
+            self.listener.read_ahead.forget(self)
+            self.transport.loseConnection()
+            return
         self._cancel_request()
         self.listener.read_ahead.forget(self)
         self.state = ClientState.CLOSING
--- a/sedgepitch/protocols/postgresql/client_buffers.py
+++ b/sedgepitch/protocols/postgresql/client_buffers.py
@@ -4,9 +4,14 @@
 
 from typing import TYPE_CHECKING
 
+from sedgepitch.core import reasons
 from sedgepitch.core.types import Clock
 from sedgepitch.decisions.connections.client_memory import ClientMemoryBudget
 from sedgepitch.net.process_memory import private_bytes
+from sedgepitch.protocols.common.transports import unsent_bytes
+from sedgepitch.protocols.postgresql import codec
+from sedgepitch.protocols.postgresql.client_state import ClientState
+from sedgepitch.protocols.postgresql.close_reasons import CloseReason
 from sedgepitch.protocols.postgresql.statements import Statement
 
 if TYPE_CHECKING:
@@ -14,9 +19,32 @@
 
 READ_BYTES = 64 * 1024  # of one read of a client's socket
 PRESSURE_READ_BYTES = 4 * 1024  # the same, under memory pressure
+SQLSTATE_CANNOT_CONNECT_NOW = "57P03"
 STATEMENT_COPIES = 2  # of a pending statement: its text, and the copy that is being sent to an endpoint
 
 
+def held_bytes(connection: ClientConnection) -> int:
+    """Return the bytes of buffered input and unsent responses; 0 once the connection is aborted."""
+    return 0 if connection.aborted else connection.reader.memory_bytes + unsent_bytes(connection.transport)
+
+
+def give_back_memory(connection: ClientConnection) -> None:
+    """Drop the buffered input, or abort if most of what is held are responses that are not read.
+
+    The statements in the input are rejected when their turn comes; an incomplete one is read to its end for
+    that, without being buffered.
+    """
+    if unsent_bytes(connection.transport) > connection.reader.memory_bytes:
+        connection.abort(CloseReason.RESPONSE_NOT_READ)
+    elif connection.state is ClientState.STARTUP:
+        message = codec.error(SQLSTATE_CANNOT_CONNECT_NOW, reasons.OUT_OF_MEMORY, fatal=True)
+        connection.end(CloseReason.OUT_OF_MEMORY, message)
+    else:
+        connection.reader.skip_input()
+        if connection.state is ClientState.READY:
+            connection.advance_soon()
+
+
 class ClientBuffers:
     """Accounts for the bytes of each connection and has connections give bytes back."""
 
@@ -42,7 +70,7 @@
     def changed(self, connection: ClientConnection) -> None:
         """Account for what a connection holds now; if all hold too much, have some give bytes back."""
         budget = self.budget
-        budget.update(connection, connection.held_bytes, self._clock.now())
+        budget.update(connection, held_bytes(connection), self._clock.now())
         if budget.exceeded:
             self._reclaim()
         self._note_pressure()
@@ -62,13 +90,13 @@
     def _reclaim(self) -> None:
         budget, now = self.budget, self._clock.now()
         for connection in self._connections:  # responses may have been sent since the last account
-            budget.update(connection, connection.held_bytes, now)
+            budget.update(connection, held_bytes(connection), now)
         for holder in budget.holders(now):
             if budget.has_reclaimed:
                 break
             self.reclaimed += 1
-            holder.give_back_memory()
-            budget.update(holder, holder.held_bytes, now)
+            give_back_memory(holder)
+            budget.update(holder, held_bytes(holder), now)
 
     def _note_pressure(self) -> None:
         under_pressure = self.budget.under_pressure
--- a/sedgepitch/protocols/postgresql/close_reasons.py
+++ b/sedgepitch/protocols/postgresql/close_reasons.py
@@ -39,6 +39,8 @@
 )
 # Routine closes: logged only if a request or unexecuted bytes were left.
 ROUTINE_REASONS = frozenset({CloseReason.TERMINATED, CloseReason.IDLE_LIMIT, CloseReason.SHUTDOWN})
+# Closes of idle connections by the proxy.
+CLOSES_BETWEEN_REQUESTS = frozenset({CloseReason.EVICTED, CloseReason.IDLE_LIMIT, CloseReason.SHUTDOWN})
 
 
 @dataclass(frozen=True, slots=True)
--- a/sedgepitch/protocols/postgresql/read_ahead.py
+++ b/sedgepitch/protocols/postgresql/read_ahead.py
@@ -45,6 +45,10 @@
         if buffered <= EXTENDED_READ_AHEAD_BYTES and may_extend and not under_pressure:
             self.extended.add(connection)
             return
+        self.pause(connection)
+
+    def pause(self, connection: ClientConnection) -> None:
+        """Stop reading; the end of the client's stream is asked for instead."""
         connection.reads_paused = True
         self.paused.add(connection)
         connection.transport.pauseProducing()
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -20,7 +20,12 @@
     share_memory,
 )
 from sedgepitch.protocols.postgresql import codec
-from sedgepitch.protocols.postgresql.client_buffers import PRESSURE_READ_BYTES, READ_BYTES
+from sedgepitch.protocols.postgresql.client_buffers import (
+    PRESSURE_READ_BYTES,
+    READ_BYTES,
+    give_back_memory,
+    held_bytes,
+)
 from sedgepitch.protocols.postgresql.codec import Reader
 from tests.support.platform import upload_statement
 from tests.support.postgresql_harness import PostgresqlProxy, errors, messages, read, write
@@ -58,9 +63,9 @@
 def test_the_sum_stays_within_the_budget_once_holders_have_given_back(updates):
     budget = make_budget()
     held: dict[int, int] = {}
-    for now, (key, held_bytes) in enumerate(updates):
-        held[key] = held_bytes
-        budget.update(key, held_bytes, float(now))
+    for now, (key, size) in enumerate(updates):
+        held[key] = size
+        budget.update(key, size, float(now))
         if budget.exceeded:
             for holder in budget.holders(float(now)):
                 if budget.has_reclaimed:
@@ -160,7 +165,7 @@
     @property
     def held(self) -> int:
         """Return the bytes that all connections hold."""
-        return sum(connection.held_bytes for connection in self.listener.connections)
+        return sum(held_bytes(connection) for connection in self.listener.connections)
 
 
 # Guards against incomplete statements of many clients without a common bound (a29244, picture a).
@@ -178,7 +183,7 @@
     proxy = SmallProxy()
     connection, wire = proxy.client()
     connection.dataReceived(HALF_UPLOAD)
-    connection.give_back_memory()
+    give_back_memory(connection)
     assert not errors(wire) and connection in proxy.listener.activity.receiving
     connection.dataReceived(UPLOAD[len(HALF_UPLOAD) :] + read(2))
     proxy.turn()
@@ -194,7 +199,7 @@
     connection, wire = proxy.client()
     connection.dataReceived(write(1) + write(2) + read(3) + HALF_UPLOAD)
     proxy.turn()
-    connection.give_back_memory()
+    give_back_memory(connection)
     proxy.answer()
     proxy.turn(0.0, 10)
     connection.dataReceived(UPLOAD[len(HALF_UPLOAD) :])
@@ -209,7 +214,7 @@
     proxy = SmallProxy()
     connection, wire = proxy.client()
     connection.dataReceived(HALF_UPLOAD)
-    connection.give_back_memory()
+    give_back_memory(connection)
     proxy.advance_in_steps(2.3)
     assert [error["S"] for error in errors(wire)] == ["FATAL"] and wire.half_closed
 
--- a/tests/test_event_races.py
+++ b/tests/test_event_races.py
@@ -26,6 +26,7 @@
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule
 from sedgepitch.node.graceful_shutdown import GracefulShutdown
 from sedgepitch.protocols.postgresql import client_listener, codec, read_ahead, statement_handler
+from sedgepitch.protocols.postgresql.close_reasons import CloseReason
 from sedgepitch.routing import messages as api
 from sedgepitch.routing.messages import AttemptResult
 from sedgepitch.routing.router import Router
@@ -812,3 +813,32 @@
     proxy.turn()
     assert len(proxy.endpoints.sent) == sent == 1
     assert not proxy.engine.request_table.pending
+
+
+# Guards against a request that crosses the close of an idle connection, is read and never answered (a29244).
+@pytest.mark.parametrize("reason", [CloseReason.IDLE_LIMIT, CloseReason.EVICTED, CloseReason.SHUTDOWN])
+def test_a_request_that_crosses_the_close_of_an_idle_connection_is_left_unread(reason):
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client()
+    connection.end(reason)
+    assert wire.half_closed and wire.producerState == "paused"
+    proxy.turn(0.1)
+    assert not wire.aborted and not wire.disconnecting
+    wire.left = True  # the client has seen the close
+    proxy.turn(0.05)
+    assert wire.disconnecting and not proxy.listener.read_ahead.paused
+
+
+def test_input_behind_an_error_is_still_discarded():
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client()
+    connection.dataReceived(b"?" * 20)
+    assert wire.half_closed and wire.producerState == "producing"
+
+
+def test_a_client_that_stays_after_the_close_of_its_idle_connection_is_aborted():
+    proxy = PostgresqlProxy()
+    connection, wire = proxy.client()
+    connection.end(CloseReason.IDLE_LIMIT)
+    proxy.advance_in_steps(0.6)
+    assert wire.aborted
