--- a/sedgepitch/scenarios/soak/proxy_processes.py
+++ b/sedgepitch/scenarios/soak/proxy_processes.py
@@ -109,6 +109,7 @@
     longest_deadline: float
     processes: list[ProxyProcess] = field(default_factory=list)
     findings: list[str] = field(default_factory=list)
+    crowd_ends_at: float = 0.0  # of the last crowd of misbehaving clients, on the monotonic clock
     file_repairs: set[asyncio.Task[None]] = field(default_factory=set)
 
     @property
@@ -156,9 +157,11 @@
         proxy.ready_at = time.monotonic()
 
     async def watch_level(self, proxy: ProxyProcess) -> None:
-        """Measure a process LEVEL_AFTER_S after it is ready."""
+        """Measure a process LEVEL_AFTER_S after it is ready and the last crowd has left."""
         await self.wait_ready(proxy)
         await asyncio.sleep(LEVEL_AFTER_S)
+        while (left := self.crowd_ends_at + LEVEL_AFTER_S - time.monotonic()) > 0.0:
+            await asyncio.sleep(left)
         proxy.measure()
 
     async def enforce_memory_limit(self, limit_mb: float) -> None:
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -148,6 +148,7 @@
             await self._crowd.play(step.duration)
             return
         self._crowds += 1
+        self._processes.crowd_ends_at = time.monotonic() + step.duration
         arguments = [step.crowd, str(self._port), str(step.duration), f"c{self._crowds}x"]
         process = await asyncio.create_subprocess_exec(
             *CROWD_PROGRAM, *arguments, stdout=asyncio.subprocess.PIPE
