A client that is still sending at its timeout gets the time to be read

Cause: before a timeout is judged, one turn of the event loop reads once from each socket. An upload of 131 kB takes several reads, and its rest may still be in the client's own system, as a receive buffer takes about 64 kB; so after a turn that was long (a flood, a suspension) a statement that was sent in time was closed as too slow.

Now a client whose bytes came within 0.05 s, or lie unread, has 0.5 s more for the rest of that message.

--- a/sedgepitch/decisions/connections/client_connections.py
+++ b/sedgepitch/decisions/connections/client_connections.py
@@ -120,6 +120,12 @@
         self.timed_out += len(found)
         return found
 
+    def postpone_timeout(self, key: Key, now: float) -> None:
+        """Have `remove_timed_out` name a connection again at its next call."""
+        self.receiving[key] = now - RECEIVE_TIMEOUT_S
+        self.receiving.move_to_end(key, last=False)
+        self.timed_out -= 1
+
     def _evict_oldest(self, table: OrderedDict[Key, float]) -> Key:
         key, _ = table.popitem(last=False)
         self.evicted += 1
--- a/sedgepitch/protocols/postgresql/client.py
+++ b/sedgepitch/protocols/postgresql/client.py
@@ -34,6 +34,8 @@
 
 DRAIN_BYTES_MAX = 256 * 1024  # read and discarded after an error, so that the error arrives
 DRAIN_TIME_MAX_S = 0.5
+STILL_SENDING_S = 0.05  # since the last read of a client that is still sending its message
+RECEIVE_GRACE_S = 0.5  # for the rest of a message at its timeout: it may have been sent, and be read late
 REJECTIONS_PER_TURN = 256  # of one connection, late in a shutdown
 SQLSTATE_PROTOCOL_VIOLATION = "08P01"
 SQLSTATE_CANNOT_CONNECT_NOW = "57P03"
@@ -58,6 +60,8 @@
         self.aborted = False
         self.discarded_bytes = 0  # received in state CLOSING
         self.message_started_at = 0.0  # arrival time of the first buffered byte
+        self.read_at = 0.0  # time of the last read
+        self.grace_ends_at = 0.0  # of an incomplete message that has timed out, 0 if it has not
         self.accepted_at = listener.clock.now()
         self.close_decision: CloseDecision | None = None  # the first one of the proxy
 
@@ -86,11 +90,13 @@
             return
         now = listener.clock.now()
         listener.loop_activity.ran(now)
+        self.read_at = now
         arrived = arrival_time(self.transport)
         if arrived and not self.reads_paused:
             listener.engine.record_wait(self.transport.read_delay(now), now)
         if not self.reader.has_input:
             self.message_started_at = arrived or now
+            self.grace_ends_at = 0.0
             listener.activity.bytes_received(self)
         self.reader.feed(data)
         self.advance()
@@ -136,7 +142,7 @@
         message = self.reader.next()
         if message is None:
             return
-        text = _statement_text(*message)
+        text = codec.statement_text(*message)
         if text is None:
             self.end(CloseReason.TERMINATED)
             return
@@ -151,7 +157,7 @@
         terminated = False
         try:
             while len(responses) < REJECTIONS_PER_TURN and (message := self.reader.next()) is not None:
-                text = _statement_text(*message)
+                text = codec.statement_text(*message)
                 if text is None:
                     terminated = True
                     break
@@ -255,10 +261,19 @@
         """Close a client that timed out: idle at start-up, incomplete message, or responses not read."""
         if self.write_blocked or self.state is ClientState.CLOSING:
             self.abort(CloseReason.RESPONSE_NOT_READ)
+        elif self.reader.has_input and self._is_still_sending(now := self.listener.clock.now()):
+            self.listener.activity.postpone_timeout(self, now)
         else:
             message = codec.error(SQLSTATE_PROTOCOL_VIOLATION, "nothing whole came in time", fatal=True)
             self.end(CloseReason.INPUT_TIMEOUT, message)
 
+    def _is_still_sending(self, now: float) -> bool:
+        """Return whether the client sends the rest of its message, for which it has RECEIVE_GRACE_S more."""
+        if not self.grace_ends_at:
+            self.grace_ends_at = now + RECEIVE_GRACE_S
+        sends = now - self.read_at < STILL_SENDING_S or socket_state.unread_bytes(self.transport) > 0
+        return sends and now < self.grace_ends_at
+
     def close_if_idle(self, last: bool) -> None:
         """Close for a shutdown unless a statement has no answer yet or the socket has unread bytes.
 
@@ -376,15 +391,6 @@
             self.listener.request_ended(statement, request)
 
 
-def _statement_text(kind: bytes, raw: bytes) -> bytes | None:
-    """Return the text of a Query message, or None for Terminate; raises MalformedMessage."""
-    if kind == codec.TERMINATE:
-        return None
-    if raw[-1]:
-        raise MalformedMessage("a statement without its end")
-    return raw[codec.HEADER_BYTES : -1]
-
-
 class ClientFactory(NumberingFactory):
     """Builds the `ClientConnection` objects of a `ClientListener`."""
 
--- a/sedgepitch/protocols/postgresql/codec.py
+++ b/sedgepitch/protocols/postgresql/codec.py
@@ -225,6 +225,15 @@
         return code, data[start + STARTUP_HEADER_BYTES : start + length]
 
 
+def statement_text(kind: bytes, raw: bytes) -> bytes | None:
+    """Return the text of a Query message, or None for Terminate; raises MalformedMessage."""
+    if kind == TERMINATE:
+        return None
+    if raw[-1]:
+        raise MalformedMessage("a statement without its end")
+    return raw[HEADER_BYTES:-1]
+
+
 def message(kind: bytes, body: bytes) -> bytes:
     """Build one message."""
     return _HEADER.pack(kind, len(body) + LENGTH_BYTES) + body
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from sedgepitch.decisions.connections.client_connections import RECEIVE_TIMEOUT_S
 from sedgepitch.protocols.postgresql import codec
 from tests.support.platform import (
     ROOT,
@@ -24,6 +25,7 @@
     Platform,
     read_statement,
     running_platform,
+    upload_statement,
     write_statement,
 )
 
@@ -398,3 +400,19 @@
         pass
     slow.close()
     assert "Traceback" not in platform.log.read_text()
+
+
+# Guards against an upload that is closed as too slow although all of it was sent in time (a29244).
+def test_an_upload_that_arrives_while_the_process_is_held_up_is_served_after_its_timeout(platform):
+    client = platform.client()
+    upload = codec.query(upload_statement(1, codec.VALUE_BYTES_MAX))
+    first, rest = upload[:1000], upload[1000:]  # the rest takes more than one read
+    client.socket.sendall(first)
+    time.sleep(RECEIVE_TIMEOUT_S - 0.3)
+    platform.signal(signal.SIGSTOP)
+    wait_until(platform.is_suspended)
+    client.socket.sendall(rest)
+    time.sleep(0.6)
+    platform.signal(signal.SIGCONT)
+    kinds = [kind for kind, _ in client.read_until_ready()]
+    assert codec.DATA_ROW in kinds and codec.ERROR_RESPONSE not in kinds
