The budget for incomplete replies is a share of the memory that is left

An eighth of the limit and 4 MiB at least is 57 % of what a process of 32 MB has left after its start (7.4 MB), and 30 % of that are the clients'. Both shares are now of what is left: 0.2 of it, 1.25 MiB at least, which holds one reply of the largest size. The decision stands in process_memory_shares.py alone; the test of the share moves with it and asks the same cases and one more.

--- a/sedgepitch/decisions/connections/receive_budget.py
+++ b/sedgepitch/decisions/connections/receive_budget.py
@@ -7,25 +7,19 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Hashable
 from typing import Generic, TypeVar
 
 Key = TypeVar("Key", bound=Hashable)
 
-MEMORY_SHARE = 0.125  # of the memory of the process
-MIN_BYTES = 4 * 1024 * 1024  # however small the limit
-UNLIMITED_BYTES = 1 << 62
-
 
 class ReceiveBudget(Generic[Key]):
-    """Sums the bytes held for incomplete replies. `memory_bytes` is the process's limit, 0 for none."""
+    """Sums the bytes held for incomplete replies, `max_bytes` at most."""
 
     __slots__ = ("_held", "max_bytes", "total_bytes")
 
-    def __init__(self, memory_bytes: float) -> None:
-        limited = memory_bytes > 0 and math.isfinite(memory_bytes)
-        self.max_bytes = max(MIN_BYTES, int(memory_bytes * MEMORY_SHARE)) if limited else UNLIMITED_BYTES
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
         self.total_bytes = 0
         self._held: dict[Key, int] = {}
 
--- a/sedgepitch/node/proxy.py
+++ b/sedgepitch/node/proxy.py
@@ -100,7 +100,7 @@
             self.descriptors,
             unix_offset,
             health_check_timeout=self.config.connect_within,
-            receive_budget=ReceiveBudget(self.config.memory * BYTES_PER_MB),
+            receive_budget=ReceiveBudget(self.memory.endpoint_bytes),
         )
         upstream.on_bytes_arrived = self._bytes_arrived
         upstream.on_endpoint_removed = self._endpoint_removed
--- a/sedgepitch/protocols/postgresql/upstream.py
+++ b/sedgepitch/protocols/postgresql/upstream.py
@@ -8,6 +8,7 @@
 
 from sedgepitch.core.connection_pool import ConnectionBudget, ConnectionPool, PoolLimits
 from sedgepitch.core.types import NEVER, AttemptCallback, AttemptHandle, AttemptOutcome, Clock
+from sedgepitch.decisions.connections.process_memory_shares import UNLIMITED_BYTES
 from sedgepitch.decisions.connections.receive_budget import ReceiveBudget
 from sedgepitch.net.connecting import OutgoingConnection
 from sedgepitch.net.twisted_types import Reactor
@@ -65,7 +66,7 @@
         self.unix_offset = unix_offset
         self.health_check_timeout = health_check_timeout
         self.names = names or SessionNames()
-        self.receive_budget = receive_budget or ReceiveBudget(memory_bytes=0)
+        self.receive_budget = receive_budget or ReceiveBudget(UNLIMITED_BYTES)
         self.addresses: Mapping[int, tuple[str, int]] = {}
         self.pools: dict[int, EndpointPool] = {}
         self.on_bytes_arrived: Callable[[float], None] = ignore
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -12,12 +12,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sedgepitch.decisions.connections.receive_budget import (
-    MEMORY_SHARE,
-    MIN_BYTES,
+from sedgepitch.decisions.connections.process_memory_shares import (
+    ENDPOINT_BYTES_MIN,
+    ENDPOINT_SHARE,
     UNLIMITED_BYTES,
-    ReceiveBudget,
+    share_memory,
 )
+from sedgepitch.decisions.connections.receive_budget import ReceiveBudget
 from sedgepitch.protocols.postgresql import codec
 from sedgepitch.protocols.postgresql.endpoint_connection import (
     ConnectionCallbacks,
@@ -34,28 +35,31 @@
 DEADLINE_S = 0.4
 TIMEOUT_S = 60.0
 MEBIBYTE = 1024 * 1024
+BUDGET_BYTES = 4 * MEBIBYTE
 
 
 # The budget
 
 
 @pytest.mark.parametrize(
-    ("memory_bytes", "max_bytes"),
+    ("limit_bytes", "used_bytes", "max_bytes"),
     [
-        (0, UNLIMITED_BYTES),
-        (float("inf"), UNLIMITED_BYTES),
-        (float("nan"), UNLIMITED_BYTES),
-        (1, MIN_BYTES),
-        (192 * MEBIBYTE, 192 * MEBIBYTE * MEMORY_SHARE),
+        (0, 0, UNLIMITED_BYTES),
+        (float("inf"), 0, UNLIMITED_BYTES),
+        (float("nan"), 0, UNLIMITED_BYTES),
+        (1, 0, ENDPOINT_BYTES_MIN),
+        (20 * MEBIBYTE, 24 * MEBIBYTE, ENDPOINT_BYTES_MIN),
+        (192 * MEBIBYTE, 25 * MEBIBYTE, int(167 * MEBIBYTE * ENDPOINT_SHARE)),
     ],
 )
-def test_the_budget_is_a_share_of_the_memory(memory_bytes, max_bytes):
-    assert ReceiveBudget(memory_bytes).max_bytes == max_bytes
+def test_the_budget_is_a_share_of_the_memory_that_is_left(limit_bytes, used_bytes, max_bytes):
+    assert share_memory(limit_bytes, used_bytes).endpoint_bytes == max_bytes
+    assert max_bytes > codec.ROW_BYTES_MAX, "one reply of the largest size fits"
 
 
-@given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, MIN_BYTES)), max_size=60))
+@given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, BUDGET_BYTES)), max_size=60))
 def test_closing_the_connections_that_the_budget_names_always_keeps_the_sum_within_it(steps):
-    budget: ReceiveBudget[int] = ReceiveBudget(1)
+    budget: ReceiveBudget[int] = ReceiveBudget(BUDGET_BYTES)
     held: dict[int, int] = {}
     for key, held_bytes in steps:
         held[key] = held_bytes
@@ -64,7 +68,7 @@
             assert held[largest] == max(held.values())
             held[largest] = 0
             largest = budget.update(largest, 0)
-        assert budget.total_bytes == sum(held.values()) <= MIN_BYTES
+        assert budget.total_bytes == sum(held.values()) <= BUDGET_BYTES
 
 
 # One connection
@@ -167,6 +171,8 @@
         pytest.param(30, 8, 120, 80, id="few at a time"),
         # Guards against many spoilt answers at once, each of them within the bound of one reply.
         pytest.param(1, 60, 100, 48, id="all at once"),
+        # Guards against a budget for replies that is more than a process of 32 MB has left (a29244).
+        pytest.param(1, 60, 100, 32, id="all at once, least memory"),
     ],
 )
 def test_answers_that_never_end_do_not_fill_the_memory(tmp_path, every, clients, answers, memory_mb):
