--- a/sedgepitch/protocols/postgresql/client_listener.py
+++ b/sedgepitch/protocols/postgresql/client_listener.py
@@ -165,5 +165,5 @@
         if not self.closes_idle_connections():
             return
         last = self.rejects_statements()
-        for connection in list(self.connections):
+        for connection in sorted(self.connections, key=lambda each: each.number):
             connection.close_if_idle(last)
--- a/sedgepitch/protocols/postgresql/read_ahead.py
+++ b/sedgepitch/protocols/postgresql/read_ahead.py
@@ -33,7 +33,7 @@
     def __init__(self) -> None:
         """Start with no client above the limit."""
         self.extended: set[ClientConnection] = set()  # allowed more than READ_AHEAD_BYTES
-        self.paused: set[ClientConnection] = set()  # not being read
+        self.paused: dict[ClientConnection, None] = {}  # not being read, in the order of their pauses
 
     def limit(self, connection: ClientConnection) -> None:
         """Pause reading from a client above its limit; up to EXTENDED_CLIENTS_MAX get the larger one."""
@@ -50,7 +50,7 @@
     def pause(self, connection: ClientConnection) -> None:
         """Stop reading; the end of the client's stream is asked for instead."""
         connection.reads_paused = True
-        self.paused.add(connection)
+        self.paused[connection] = None
         connection.transport.pauseProducing()
         connection.listener.reading_paused()
 
@@ -72,10 +72,10 @@
     def resume(self, connection: ClientConnection) -> None:
         """Resume reading from the socket."""
         connection.reads_paused = False
-        self.paused.discard(connection)
+        self.paused.pop(connection, None)
         connection.transport.resumeProducing()
 
     def forget(self, connection: ClientConnection) -> None:
         """Drop the state of a closed connection."""
-        self.paused.discard(connection)
+        self.paused.pop(connection, None)
         self.extended.discard(connection)
