MongoDB: commands of very many fields are refused

Cause: the walk over a command makes a record of some hundred bytes for each element, without a bound on their number; a message may have 48 MB. Documents of a sequence were walked without the bound that hello announces. Now a walked document has 10,000 elements at most, a sequence 100,000 documents (maxWriteBatchSize); beyond that the command is refused. Shown: the two new tests failed before.

--- a/sedgepitch/protocols/mongodb/bsonwalk.py
+++ b/sedgepitch/protocols/mongodb/bsonwalk.py
@@ -58,6 +58,7 @@
     DB_POINTER: 16,  # length and object id
     SCOPED_JAVASCRIPT: 0,  # the length includes the prefix itself
 }
+ELEMENTS_MAX = 10_000  # of a command, and of those parts of it that are walked
 _DOCUMENT_BYTES_MIN = 5  # length prefix and terminating zero byte
 _LENGTH_BYTES = 4
 _INT32 = struct.Struct("<i")
@@ -119,7 +120,11 @@
 
 
 def elements(buf: bytes, offset: int = 0) -> list[Element]:
-    """Return the elements of the document at `offset`; raises MalformedDocument if it is invalid."""
+    """Return the elements of the document at `offset`.
+
+    Raises MalformedDocument if it is invalid or has more than ELEMENTS_MAX: an element takes three bytes, and
+    its record some hundred.
+    """
     stop = document_end(buf, offset) - 1
     at = offset + _LENGTH_BYTES
     found: list[Element] = []
@@ -138,6 +143,8 @@
             raise MalformedDocument(f"element at byte {at} runs past its document")
         found.append(new(Element, (kind, buf[at + 1 : name_end], start, end)))
         at = end
+        if len(found) > ELEMENTS_MAX:
+            raise MalformedDocument(f"document at byte {offset} has more than {ELEMENTS_MAX} elements")
     return found
 
 
--- a/sedgepitch/protocols/mongodb/codec.py
+++ b/sedgepitch/protocols/mongodb/codec.py
@@ -38,6 +38,7 @@
 ZSTD = 3
 COMPRESSORS = {"snappy": SNAPPY, "zlib": ZLIB, "zstd": ZSTD}
 REQUEST_ID_MAX = 0x7FFFFFFF
+WRITE_BATCH_MAX = 100_000  # documents of a sequence; maxWriteBatchSize
 
 _FLAGS = struct.Struct("<I")
 _CHECKSUM = struct.Struct("<I")
@@ -228,8 +229,12 @@
     if name_end < 0:
         raise MalformedMessage("OP_MSG: a document sequence has no name")
     document_at = name_end + 1
+    documents = 0
     while document_at < stop:
         document_at = document_end(frame, document_at)
+        documents += 1
+        if documents > WRITE_BATCH_MAX:
+            raise MalformedMessage(f"OP_MSG: a sequence of more than {WRITE_BATCH_MAX} documents")
     if document_at != stop:
         raise MalformedMessage("OP_MSG: a document sequence ends inside a document")
     name = frame[name_at:name_end].decode("utf-8", "replace")
--- a/sedgepitch/protocols/mongodb/hello.py
+++ b/sedgepitch/protocols/mongodb/hello.py
@@ -9,11 +9,10 @@
 import bson
 
 from sedgepitch.decisions.positions import NO_TERM, OpTime
-from sedgepitch.protocols.mongodb.codec import Message
+from sedgepitch.protocols.mongodb.codec import WRITE_BATCH_MAX, Message
 from sedgepitch.protocols.mongodb.payload import RawSections
 
 DOCUMENT_BYTES_MAX = 16 * 1024 * 1024
-WRITE_BATCH_MAX = 100_000
 SESSION_TIMEOUT_MIN = 30  # minutes
 WIRE_VERSION_MIN = 0
 WIRE_VERSION_MAX = 21
--- a/tests/test_mongodb_client.py
+++ b/tests/test_mongodb_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import struct
+import tracemalloc
 
 import bson
 import pytest
@@ -298,3 +299,37 @@
     wrong_size = bomb[:20] + struct.pack("<i", 100) + bomb[24:]
     with pytest.raises(MalformedMessage):
         codec.parse(wrong_size)
+
+
+def many_short_fields(count: int) -> bytes:
+    """Return a ping with this number of further fields of three bytes."""
+    head, tail = bson.encode({"ping": 1}), bson.encode({"$db": "sky"})
+    elements = head[4:-1] + b"\x0aa\0" * count + tail[4:-1]
+    return codec.build(struct.pack("<i", len(elements) + 5) + elements + b"\0", 1, 0)
+
+
+# Guards against commands of very many short fields, which cost a hundred times their bytes (a29244).
+def test_a_command_of_very_many_fields_is_refused_without_a_record_of_each():
+    proxy = MongodbProxy()
+    connection, transport = proxy.client()
+    frame = many_short_fields(300_000)
+    tracemalloc.start()
+    try:
+        connection.dataReceived(frame)
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert [reply["code"] for _, reply in replies(transport)] == [22]
+    assert peak_bytes < 5 * len(frame)
+    connection.dataReceived(many_short_fields(100))
+    proxy.turn()
+    assert [reply["ok"] for _, reply in replies(transport)] == [0, 1]
+
+
+def test_a_sequence_of_more_documents_than_a_batch_may_have_is_refused():
+    documents = (5).to_bytes(4, "little") + b"\0"
+    sequence = b"documents\0" + documents * (codec.WRITE_BATCH_MAX + 1)
+    body = bson.encode({"insert": "log", "$db": "sky"})
+    sections = b"\0" + body + b"\x01" + struct.pack("<i", len(sequence) + 4) + sequence
+    with pytest.raises(codec.MalformedMessage, match="more than"):
+        codec.parse(codec.build_raw(sections, 1, 0))
