The connections of a pool have an order

A pool that retires closes the connections that are still being opened in the order of a set, by address in memory.

--- a/sedgepitch/core/connection_pool.py
+++ b/sedgepitch/core/connection_pool.py
@@ -74,7 +74,7 @@
         self.judge = judge
         self.limits = limits
         self.budget: ConnectionBudget = budget or _Unlimited()
-        self.connections: set[PooledConnection] = set()
+        self.connections: dict[PooledConnection, None] = {}  # in the order of their openings
         self.idle: list[PooledConnection] = []  # least recently used first
         self.closed = False
 
@@ -103,7 +103,7 @@
         if not self.budget.acquire():
             return self._end_soon(attempt, AttemptResult.NOT_SENT, NO_DESCRIPTOR)
         connection = PooledConnection(self)
-        self.connections.add(connection)
+        self.connections[connection] = None
         self._assign(connection, attempt)
         connection.open()
         return attempt
@@ -195,7 +195,7 @@
     def remove(self, connection: PooledConnection) -> None:
         """Remove a connection that has ended."""
         if connection in self.connections:
-            self.connections.discard(connection)
+            self.connections.pop(connection)
             connection.forget_opening()
             self.budget.release()
         if connection in self.idle:
