MongoDB: input, pending commands and names of all clients have a common bound

Cause: each connection may buffer a message, and nothing bounds their sum; the framing kept a chunk and an arrival time for each read, some 200 bytes for one byte; names (namespace, session, class in a comment, read preference) had any length, and caches and admission control keep them.

Reads are joined, with 256 arrival times at most; names have MongoDB's bounds.

--- a/sedgepitch/cli/assembly.py
+++ b/sedgepitch/cli/assembly.py
@@ -9,12 +9,15 @@
 from sedgepitch.core.connection_pool import PoolLimits
 from sedgepitch.core.engine import Engine
 from sedgepitch.core.types import Clock
+from sedgepitch.decisions.connections.process_memory_shares import share_memory
 from sedgepitch.decisions.cursors import CursorTable
+from sedgepitch.net.process_memory import available_bytes, private_bytes
 from sedgepitch.net.twisted_types import Reactor
 from sedgepitch.protocols.mongodb.client_context import ClientContext
 from sedgepitch.protocols.mongodb.upstream import MongoUpstream
 from sedgepitch.routing.messages import Freshness
 
+CLIENT_BYTES_MAX = 256 * 1024 * 1024  # held for clients, however much memory there is; some largest messages
 OBSERVATION_AGE_SHARE = 0.25  # maximum age of an observation, as a share of the tightest staleness bound
 
 
@@ -67,6 +70,7 @@
         tenant_sources=tuple(admission.tenant) if admission else (),
         client_sources=tuple(admission.client) if admission else (),
         connections_max=limits.connections,
+        client_bytes_max=min(CLIENT_BYTES_MAX, share_memory(available_bytes(), private_bytes()).client_bytes),
         log_event=log_event,
         count_input_error=count_input_error,
     )
--- a/sedgepitch/protocols/mongodb/client.py
+++ b/sedgepitch/protocols/mongodb/client.py
@@ -12,6 +12,7 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
+from sedgepitch.core.reasons import OUT_OF_MEMORY
 from sedgepitch.core.request_table import PendingRequest
 from sedgepitch.protocols.common.client_side import NumberingFactory, WritePressure
 from sedgepitch.protocols.common.transports import arrival_time
@@ -21,6 +22,7 @@
 from sedgepitch.protocols.mongodb.commands import CommandError
 from sedgepitch.protocols.mongodb.framing import FrameReceiver
 
+MEMORY_RETRY_AFTER_S = 0.2
 READ_AHEAD_BYTES = 256 * 1024  # pipelined bytes per client before its socket is no longer read
 
 
@@ -47,6 +49,7 @@
         self.compressors: list[str] = []
         self.has_submitted = False  # at least one command was submitted to the engine
         self.tenant = ""  # of the last request
+        self.pending_bytes = 0  # of the command that is executing
 
     # Reading
 
@@ -70,6 +73,7 @@
         if self.paused and self.buffered > READ_AHEAD_BYTES and not self.reads_paused:
             self.reads_paused = True
             self.transport.pauseProducing()
+        self.context.memory_changed(self)
 
     def _report_read_delay(self) -> None:
         """Report to the engine how long the received bytes waited in the socket, if that is known."""
@@ -108,8 +112,10 @@
         self.paused = True
         context = self.context
         context.engine.before_reading()
-        if self._shed_unread(frame):
+        if self._shed_unread(frame) or self._reject_for_memory(frame):
             return
+        self.pending_bytes = len(frame)
+        context.memory.statement_started(self.pending_bytes)
         try:
             message = codec.parse(frame)
         except MalformedMessage as error:
@@ -138,8 +144,23 @@
         self.reply(message, error_replies.rejected(why, waited, writes=True))
         return True
 
+    def _reject_for_memory(self, frame: bytes) -> bool:
+        """Reject a large command if those that are pending use up their share of the memory."""
+        if self.context.memory.admits(len(frame)):
+            return False
+        message = codec.head(frame)
+        if message is None:
+            return False
+        self.reply(message, error_replies.rejected(OUT_OF_MEMORY, MEMORY_RETRY_AFTER_S, writes=True))
+        return True
+
+    def _end_command(self) -> None:
+        pending_bytes, self.pending_bytes = self.pending_bytes, 0
+        self.context.memory.statement_ended(pending_bytes)
+
     def reply(self, message: Message, body: bytes) -> None:
         """Send the reply, unless the client wants none, and continue with pipelined commands."""
+        self._end_command()
         if self.transport is not None and not message.more_to_come:
             self.transport.write(self._reply_frame(message, body))
         self.executing = False
@@ -175,6 +196,13 @@
         self.context.count_input_error("bad_frame")
         self.transport.loseConnection()
 
+    def close_for_memory(self) -> None:
+        """Close the connection, which holds an incomplete command: all connections hold too much memory."""
+        self.context.log_event("client.rejected", connection=self.number, reason=OUT_OF_MEMORY)
+        self.context.count_input_error("out_of_memory")
+        self.discard_buffer()
+        self.transport.abortConnection()
+
     def _end_malformed(self, error: MalformedMessage) -> None:
         self.context.log_event("client.bad_message", connection=self.number, reason=str(error))
         self.context.count_input_error("bad_message")
@@ -184,6 +212,8 @@
     def connectionLost(self, _reason: Failure = connectionDone) -> None:
         """Cancel the request of the client, which has disconnected."""
         self.discard_buffer()
+        self.context.memory.forget(self)
+        self._end_command()
         self.context.connections.discard(self)
         if self.awaited_hello is not None:
             self.awaited_hello.cancel()
--- a/sedgepitch/protocols/mongodb/client_context.py
+++ b/sedgepitch/protocols/mongodb/client_context.py
@@ -10,6 +10,8 @@
 
 from sedgepitch.core.engine import Engine
 from sedgepitch.core.types import Clock
+from sedgepitch.decisions.connections.client_memory import ClientMemoryBudget
+from sedgepitch.decisions.connections.process_memory_shares import UNLIMITED_BYTES
 from sedgepitch.decisions.cursors import CursorTable
 from sedgepitch.decisions.request_classes import Classifier
 from sedgepitch.protocols.common.callbacks import ignore
@@ -46,14 +48,31 @@
     connections: set[ClientConnection] = field(default_factory=set)
     accepted: int = 0
     connections_max: int = 20_000
+    client_bytes_max: int = 256 * 1024 * 1024  # that all connections together hold of what clients have sent
     log_event: Callable[..., None] = ignore
     count_input_error: Callable[[str], None] = ignore
 
     def __post_init__(self) -> None:
-        """Create the handlers that all connections share."""
+        """Create the handlers that all connections share, and their budget of memory."""
+        self.memory: ClientMemoryBudget[ClientConnection] = ClientMemoryBudget(
+            self.client_bytes_max, UNLIMITED_BYTES
+        )
         self.command_handler = CommandHandler(self)
         self.cursor_handler = CursorHandler(self)
 
+    def memory_changed(self, connection: ClientConnection) -> None:
+        """Account for what a connection buffers; if all buffer too much, close some of them."""
+        now = self.clock.now()
+        self.memory.update(connection, connection.buffered, now)
+        if not self.memory.exceeded:
+            return
+        for holder in self.memory.holders(now):
+            if self.memory.has_reclaimed:
+                break
+            if not holder.executing:
+                holder.close_for_memory()
+                self.memory.forget(holder)
+
     def has_waiting_commands(self) -> bool:
         """Return whether a client that reads its replies waits for one."""
         return any(connection.has_waiting_command() for connection in self.connections)
--- a/sedgepitch/protocols/mongodb/commands.py
+++ b/sedgepitch/protocols/mongodb/commands.py
@@ -26,6 +26,9 @@
 READ_PREFERENCE = b"\x03$readPreference\0" + bson.encode({"mode": "primaryPreferred"})
 COMMENT_CHARACTERS_MAX = 200
 SHOWN_NAME_CHARACTERS_MAX = 80
+SETTING_CHARACTERS_MAX = 80  # of a read preference or a read concern, whose known values are shorter
+NAMESPACE_CHARACTERS_MAX = 255  # database and collection, as in MongoDB
+SESSION_ID_BYTES_MAX = 64  # a UUID with its header takes 21
 MS_PER_S = 1000.0
 BODY_SECTION = bytes([SECTION_BODY])
 SEQUENCE_SECTION = bytes([SECTION_SEQUENCE])
@@ -183,6 +186,8 @@
     collection = bsonwalk.text(body, first) or bsonwalk.text(body, fields.get(b"collection")) or ""
     if not collection and kind is not CommandKind.LOCAL and name not in WITHOUT_COLLECTION:
         raise CommandError(73, "InvalidNamespace", f"{name}: the collection must be a string")
+    if len(database) + len(collection) > NAMESPACE_CHARACTERS_MAX:
+        raise CommandError(73, "InvalidNamespace", f"{name}: the namespace is too long")
     return database, collection
 
 
@@ -207,7 +212,9 @@
         return "", None
     mode = bsonwalk.text(body, bsonwalk.find(body, b"mode", element.start)) or ""
     staleness = bsonwalk.number(body, bsonwalk.find(body, b"maxStalenessSeconds", element.start))
-    return mode, float(staleness) if staleness is not None and staleness >= 0 else None
+    return mode[:SETTING_CHARACTERS_MAX], float(
+        staleness
+    ) if staleness is not None and staleness >= 0 else None
 
 
 def _read_concern(body: bytes, element: Element | None) -> tuple[str, OpTime | None]:
@@ -216,14 +223,14 @@
         return "", None
     level = bsonwalk.text(body, bsonwalk.find(body, b"level", element.start)) or ""
     after = bsonwalk.timestamp(body, bsonwalk.find(body, b"afterClusterTime", element.start))
-    return level, after
+    return level[:SETTING_CHARACTERS_MAX], after
 
 
 def _comment(body: bytes, element: Element | None) -> str:
     if element is None:
         return ""
     if element.kind == bsonwalk.DOCUMENT:  # a tagged comment: class rules match its `class` field
-        return bsonwalk.text(body, bsonwalk.find(body, b"class", element.start)) or ""
+        element = bsonwalk.find(body, b"class", element.start)
     return (bsonwalk.text(body, element) or "")[:COMMENT_CHARACTERS_MAX]
 
 
@@ -231,7 +238,11 @@
     if element is None or element.kind != bsonwalk.DOCUMENT:
         return ""
     session_id = bsonwalk.find(body, b"id", element.start)
-    return body[session_id.start : session_id.end].hex() if session_id is not None else ""
+    if session_id is None:
+        return ""
+    if session_id.end - session_id.start > SESSION_ID_BYTES_MAX:
+        raise CommandError(207, "InvalidUUID", "lsid: the id must be a UUID")
+    return body[session_id.start : session_id.end].hex()
 
 
 def _cursor_ids(body: bytes, kind: CommandKind, first: Element, fields: Fields) -> tuple[int, ...]:
--- a/sedgepitch/protocols/mongodb/framing.py
+++ b/sedgepitch/protocols/mongodb/framing.py
@@ -15,6 +15,7 @@
 from sedgepitch.protocols.common.transports import arrival_time
 from sedgepitch.protocols.mongodb.codec import MESSAGE_BYTES_MAX, MESSAGE_BYTES_MIN
 
+ARRIVALS_MAX = 256  # reads of one connection whose time is kept; later ones count as the last of these
 _LENGTH = struct.Struct("<i")
 
 
@@ -30,9 +31,9 @@
         self.paused = False  # no frames are delivered
         self.broken = False  # later bytes are ignored
         self.frame_since = 0.0  # arrival of the current frame's first byte, monotonic s; 0: unknown
-        self._chunks: list[bytes] = []
+        self._chunks: list[bytes | bytearray] = []  # the first read, and all later ones together
         self._bytes_needed = _LENGTH.size  # below this many bytes no frame can be complete
-        self._arrivals: deque[tuple[int, float]] = deque()  # buffered chunks: size, arrival time
+        self._arrivals: deque[tuple[int, float]] = deque()  # buffered reads: size, arrival time
 
     def frame_received(self, frame: bytes) -> None:
         """Handle one complete frame, including its header."""
@@ -48,11 +49,23 @@
         if self.broken:
             return
         if data:
-            self._chunks.append(data)
-            self.buffered += len(data)
-            self._arrivals.append((len(data), arrival_time(self.transport)))
+            self._append(data)
         self._deliver_frames()
 
+    def _append(self, data: bytes) -> None:
+        """Buffer received bytes. A record for each read would take far more memory than single bytes do."""
+        self.buffered += len(data)
+        if self._chunks and isinstance(self._chunks[-1], bytearray):
+            self._chunks[-1] += data
+        else:
+            self._chunks.append(bytearray(data) if self._chunks else data)
+        arrived = arrival_time(self.transport)
+        if len(self._arrivals) < ARRIVALS_MAX:
+            self._arrivals.append((len(data), arrived))
+        else:
+            size, at = self._arrivals[-1]
+            self._arrivals[-1] = (size + len(data), at)
+
     def resume_frames(self) -> None:
         """End the pause, and deliver frames that are already buffered."""
         self.paused = False
@@ -63,7 +76,7 @@
     def _deliver_frames(self) -> None:
         if not self.buffered or self.buffered < self._bytes_needed or self.paused:
             return
-        buffer = b"".join(self._chunks) if len(self._chunks) > 1 else self._chunks[0]
+        buffer = b"".join(self._chunks)  # one chunk of bytes is not copied
         at = 0
         size = len(buffer)
         while size - at >= _LENGTH.size and not self.paused and not self.broken:
