--- a/sedgepitch/protocols/mongodb/client.py
+++ b/sedgepitch/protocols/mongodb/client.py
@@ -14,6 +14,7 @@
 
 from sedgepitch.core.reasons import OUT_OF_MEMORY
 from sedgepitch.core.request_table import PendingRequest
+from sedgepitch.net import socket_state
 from sedgepitch.protocols.common.client_side import NumberingFactory, WritePressure
 from sedgepitch.protocols.common.transports import arrival_time
 from sedgepitch.protocols.mongodb import codec, error_replies
@@ -111,6 +112,10 @@
         self.executing = True
         self.paused = True
         context = self.context
+        if self.reads_paused and socket_state.peer_has_closed(self.transport):
+            self.broken = True
+            self.transport.abortConnection()
+            return
         context.engine.before_reading()
         if self._shed_unread(frame) or self._reject_for_memory(frame):
             return
--- a/sedgepitch/protocols/mongodb/command_handler.py
+++ b/sedgepitch/protocols/mongodb/command_handler.py
@@ -6,11 +6,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import bson
 
 from sedgepitch.core.types import ClientRequest, Response, ResponseStatus
+from sedgepitch.net import socket_state
 from sedgepitch.protocols.mongodb import bsonwalk, codec, error_replies
 from sedgepitch.protocols.mongodb.codec import Message
 from sedgepitch.protocols.mongodb.command_table import CommandKind
@@ -87,6 +89,7 @@
             classified.session_age,
             connection.number,
             *identity,
+            client_left=partial(socket_state.peer_has_closed, connection.transport),
         )
         respond = self.response_callback(connection, command)
         pending = context.engine.submit(request, respond, connection.frame_since or None)
--- a/tests/test_mongodb_client.py
+++ b/tests/test_mongodb_client.py
@@ -333,3 +333,18 @@
     sections = b"\0" + body + b"\x01" + struct.pack("<i", len(sequence) + 4) + sequence
     with pytest.raises(codec.MalformedMessage, match="more than"):
         codec.parse(codec.build_raw(sections, 1, 0))
+
+
+# Guards against commands of a client that has left, which were sent on behind much unread input (a29244).
+def test_buffered_commands_of_a_client_that_has_left_are_not_executed():
+    proxy = MongodbProxy()
+    connection, transport = proxy.client()
+    documents = [{"_id": "x" * 100_000}]
+    for number in range(1, 6):
+        connection.dataReceived(command(number, insert="log", documents=documents))
+    proxy.turn()
+    assert len(proxy.endpoints.sent) == 1 and connection.reads_paused
+    transport.left = True  # its end lies behind what is not read
+    proxy.endpoints.sent[0].answer()
+    proxy.turn()
+    assert len(proxy.endpoints.sent) == 1 and transport.disconnecting
