--- a/sedgepitch/decisions/connections/client_memory.py
+++ b/sedgepitch/decisions/connections/client_memory.py
@@ -31,7 +31,7 @@
 PENDING_SHARE = 0.6  # of the budget
 PRESSURE_SHARE = 0.5  # of the budget
 RECLAIM_TO_SHARE = 0.85  # of the budget: what is left after connections have given back
-SMALL_STATEMENT_BYTES = 2048  # statements up to this size are always admitted
+SMALL_STATEMENT_BYTES = 2048  # statements up to this size are always admitted, and not counted
 SCALE_MIN = 1.0 / 8.0  # of the budget, while the process uses too much memory
 SCALE_STEP = 2.0
 LITTLE_HELD_SHARE = 1.0 / 16.0  # of the whole budget
@@ -41,14 +41,9 @@
     """Counts the bytes held for each connection. Pure: times are passed in, in seconds of one clock."""
 
     __slots__ = (
-        "_budget_bytes",
-        "_held",
-        "_high_use_bytes",
-        "_since",
-        "pending_bytes",
-        "scale",
-        "total_bytes",
-    )
+        "_budget_bytes", "_held", "_high_use_bytes", "_pressure_bytes", "_since", "max_bytes",
+        "pending_bytes", "scale", "total_bytes",
+    )  # fmt: skip
 
     def __init__(self, budget_bytes: int, high_use_bytes: int) -> None:
         """Start with nothing held; `high_use_bytes` is the high mark of the whole process."""
@@ -59,16 +54,13 @@
         self.pending_bytes = 0  # of pending statements
         self.total_bytes = 0  # of all
         self.scale = 1.0
-
-    @property
-    def max_bytes(self) -> int:
-        """Return the budget as it is now."""
-        return int(self._budget_bytes * self.scale)
+        self.max_bytes = budget_bytes  # the budget as it is now
+        self._pressure_bytes = int(PRESSURE_SHARE * budget_bytes)
 
     @property
     def under_pressure(self) -> bool:
         """Return whether connections should buffer no more than they need."""
-        return self.total_bytes > PRESSURE_SHARE * self.max_bytes
+        return self.total_bytes > self._pressure_bytes
 
     @property
     def exceeded(self) -> bool:
@@ -86,6 +78,10 @@
         else:
             self._since.pop(key, None)
 
+    def held_by(self, key: Key) -> int:
+        """Return how much a connection held at its last update."""
+        return self._held.get(key, 0)
+
     def forget(self, key: Key) -> None:
         """Drop a connection that has ended."""
         self.total_bytes -= self._held.pop(key, 0)
@@ -109,12 +105,16 @@
         return self.pending_bytes + statement_bytes <= PENDING_SHARE * self.max_bytes
 
     def statement_started(self, statement_bytes: int) -> None:
-        """Record a pending statement."""
+        """Record a pending statement; small ones are not counted."""
+        if statement_bytes <= SMALL_STATEMENT_BYTES:
+            return
         self.pending_bytes += statement_bytes
         self.total_bytes += statement_bytes
 
     def statement_ended(self, statement_bytes: int) -> None:
         """Record the end of a pending statement."""
+        if statement_bytes <= SMALL_STATEMENT_BYTES:
+            return
         self.pending_bytes -= statement_bytes
         self.total_bytes -= statement_bytes
 
@@ -126,3 +126,5 @@
             self.scale = min(1.0, self.scale * SCALE_STEP)
         elif self.under_pressure:
             self.scale = max(SCALE_MIN, self.scale / SCALE_STEP)
+        self.max_bytes = int(self._budget_bytes * self.scale)
+        self._pressure_bytes = int(PRESSURE_SHARE * self.max_bytes)
--- a/sedgepitch/net/memory_allocator.py
+++ b/sedgepitch/net/memory_allocator.py
@@ -11,7 +11,7 @@
 
 _M_TRIM_THRESHOLD, _M_TOP_PAD, _M_MMAP_THRESHOLD = -1, -2, -3  # malloc.h
 MAPPED_FROM_BYTES = 16 * 1024  # blocks of this size and more are mapped, and unmapped when freed
-TRIM_FROM_BYTES = 32 * 1024  # free bytes at the end of the heap, from which they are given back
+TRIM_FROM_BYTES = 256 * 1024  # free bytes at the end of the heap, from which they are given back
 TOP_PAD_BYTES = 8 * 1024  # by which the heap grows beyond a request; below the size of a mapped block
 
 
--- a/sedgepitch/protocols/postgresql/client_buffers.py
+++ b/sedgepitch/protocols/postgresql/client_buffers.py
@@ -69,8 +69,11 @@
 
     def changed(self, connection: ClientConnection) -> None:
         """Account for what a connection holds now; if all hold too much, have some give bytes back."""
+        held = held_bytes(connection)
         budget = self.budget
-        budget.update(connection, held_bytes(connection), self._clock.now())
+        if held == budget.held_by(connection):
+            return
+        budget.update(connection, held, self._clock.now())
         if budget.exceeded:
             self._reclaim()
         self._note_pressure()
@@ -121,4 +124,5 @@
         """Account for a statement that has its answer or whose client has left, and drop its text."""
         self.budget.statement_ended(STATEMENT_COPIES * statement.held_bytes)
         statement.discard_text()
-        self._note_pressure()
+        if self.under_pressure:
+            self._note_pressure()
--- a/tests/test_close_reasons.py
+++ b/tests/test_close_reasons.py
@@ -71,6 +71,7 @@
     proxy.listener.closes.report = reports.append
     connection, _ = proxy.client()
     connection.dataReceived(read(1)[:-3])
+    proxy.turn(0.1)  # the client has stopped
     connection.time_out()
     connection.connectionLost(Failure(ConnectionDone()))
     (closed,) = reports
--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -15,6 +15,7 @@
 from sedgepitch.decisions.connections.process_memory_shares import (
     ENDPOINT_BYTES_MIN,
     ENDPOINT_SHARE,
+    RESERVED_BYTES,
     UNLIMITED_BYTES,
     share_memory,
 )
@@ -49,7 +50,7 @@
         (float("nan"), 0, UNLIMITED_BYTES),
         (1, 0, ENDPOINT_BYTES_MIN),
         (20 * MEBIBYTE, 24 * MEBIBYTE, ENDPOINT_BYTES_MIN),
-        (192 * MEBIBYTE, 25 * MEBIBYTE, int(167 * MEBIBYTE * ENDPOINT_SHARE)),
+        (192 * MEBIBYTE, 25 * MEBIBYTE, int((167 * MEBIBYTE - RESERVED_BYTES) * ENDPOINT_SHARE)),
     ],
 )
 def test_the_budget_is_a_share_of_the_memory_that_is_left(limit_bytes, used_bytes, max_bytes):
