Soak: ports that the system gives to nobody else, and a level measured after any crowd

Ports are drawn below the system's range now, for the proxy and for the servers, which keep theirs over a crash. The measurement waits for any crowd to leave now; its bound is as it was.

--- a/sedgepitch/scenarios/soak/crowd.py
+++ b/sedgepitch/scenarios/soak/crowd.py
@@ -15,11 +15,12 @@
 OTHER_CLIENTS = 20  # of each other kind
 PIPELINED = 25  # statements that one client sends without waiting for responses
 DEADLINE_S = 0.5
+CONNECT_SPREAD_S = 0.5  # within which all clients connect
 FIRST_ID = 1 << 40  # first request id; the audit ignores these requests
 
 
 class Crowd:
-    """Opens all its connections within 0.5 s and closes them after its duration."""
+    """Opens all its connections within CONNECT_SPREAD_S and closes them after its duration."""
 
     def __init__(self, port: Callable[[], int], rng: random.Random) -> None:
         """Prepare a crowd; `port` returns the proxy's current port."""
@@ -36,7 +37,7 @@
         await asyncio.gather(*clients)
 
     async def _open(self) -> asyncio.StreamWriter | None:
-        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        await asyncio.sleep(self._rng.uniform(0.0, CONNECT_SPREAD_S))
         try:
             _, writer = await asyncio.open_connection("127.0.0.1", self._port())
         except OSError:
--- a/sedgepitch/scenarios/soak/emulated_platform.py
+++ b/sedgepitch/scenarios/soak/emulated_platform.py
@@ -10,6 +10,7 @@
 
 from sedgepitch.emulator.discovery_agent import AgentMode, DiscoveryAgent, ListVersion
 from sedgepitch.emulator.postgresql_server import GROUP, PROXY, PostgresServer, ReplicatedLog
+from sedgepitch.scenarios.soak.proxy_processes import free_port
 from sedgepitch.scenarios.soak.script import SERVERS, Action, Step
 
 LIST_BURST_VERSIONS = 20
@@ -43,6 +44,7 @@
     async def start(self) -> None:
         """Start servers and agents, and record the first primary."""
         for server in self.servers:
+            server.port = free_port()  # it keeps its port over a crash
             await server.start()
         for agent in self.agents:
             await agent.start()
--- a/sedgepitch/scenarios/soak/misbehaving_clients.py
+++ b/sedgepitch/scenarios/soak/misbehaving_clients.py
@@ -143,8 +143,9 @@
         await writer.drain()
 
     async def _read_to_the_end(self, reader: asyncio.StreamReader) -> None:
-        while await reader.read(READ_BYTES):
-            pass
+        with contextlib.suppress(OSError):
+            while await reader.read(READ_BYTES):
+                pass
 
     async def _flood(self, connection: Connection, chunks: Callable[[], bytes]) -> None:
         """Send at full speed, and read whatever comes, until the other side ends the connection."""
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -15,7 +15,7 @@
 
 from sedgepitch.audit.records import Record
 from sedgepitch.scenarios.soak.clients import SharedState, SoakClient
-from sedgepitch.scenarios.soak.crowd import Crowd
+from sedgepitch.scenarios.soak.crowd import CONNECT_SPREAD_S, Crowd
 from sedgepitch.scenarios.soak.emulated_platform import EmulatedPlatform
 from sedgepitch.scenarios.soak.misbehaving_clients import CrowdKind
 from sedgepitch.scenarios.soak.proxy_processes import ProxyProcess, ProxyProcesses, free_port
@@ -144,11 +144,11 @@
         await handlers.get(step.action, self._platform.inject)(step)
 
     async def _play_crowd(self, step: Step) -> None:
+        self._processes.crowd_ends_at = time.monotonic() + step.duration + CONNECT_SPREAD_S
         if step.crowd is CrowdKind.MIXED:
             await self._crowd.play(step.duration)
             return
         self._crowds += 1
-        self._processes.crowd_ends_at = time.monotonic() + step.duration
         arguments = [step.crowd, str(self._port), str(step.duration), f"c{self._crowds}x"]
         process = await asyncio.create_subprocess_exec(
             *CROWD_PROGRAM, *arguments, stdout=asyncio.subprocess.PIPE
