Bytes that a full read leaves behind wait for their turn, not for the process

A read that takes as much as one may is now where the wait of the rest begins, as the end of a pause is; the request's own time still counts from the arrival.

Shown: the new test failed before.

--- a/sedgepitch/net/transport.py
+++ b/sedgepitch/net/transport.py
@@ -83,9 +83,10 @@
     """Base class of accepted and opened connections.
 
     `arrived` is the arrival time of the bytes passed to `dataReceived`, and `reading_since` the time since
-    which this process reads the connection: its set-up, or the end of the last pause. Both are in monotonic
-    seconds. Bytes may have arrived before `reading_since`, while the connection waited in the backlog or
-    reading was paused; that wait counts against the request, but not as read delay of this process.
+    which this process reads the connection: its set-up, the end of the last pause, or a read that took as
+    much as one may. Both are in monotonic seconds. Bytes may have arrived before `reading_since`, while the
+    connection waited in the backlog or reading was paused, or behind such a read; that wait counts against
+    the request, but not as read delay of this process.
     """
 
     arrived = 0.0
@@ -114,9 +115,12 @@
             return main.CONNECTION_DONE
         read_at = now()
         self.arrived = self._arrival_time(ancillary, read_at)
-        if len(data) < self.bufferSize:
-            self._read_at = read_at  # a full read may have left some bytes behind
+        is_full = len(data) >= self.bufferSize  # it may have left some bytes behind
+        if not is_full:
+            self._read_at = read_at
         self.protocol.dataReceived(data)  # type: ignore[call-arg,misc]
+        if is_full:
+            self.reading_since = max(self.reading_since, read_at)
         pending = self._pending_error() if self.connected else 0
         return SocketFailed(pending) if pending else None
 
--- a/tests/test_arrival_stamps.py
+++ b/tests/test_arrival_stamps.py
@@ -125,6 +125,22 @@
     assert receiving.arrivals[0] < resumed_at, "the wait still counts against the request"
 
 
+# Guards against bytes left behind by small reads that count as the process's own delay (a29244).
+def test_the_wait_behind_a_full_read_is_no_read_delay(receiving):
+    connection = receiving.connection
+    connection.bufferSize = 10
+    receiving.client.sendall(bytes(15))
+    time.sleep(0.05)
+    receiving.read(1)
+    assert connection.read_delay(time.monotonic()) > 0.0
+    first_read_at = time.monotonic()
+    time.sleep(0.05)
+    receiving.read(2)
+    moment = time.monotonic()
+    assert 0.05 <= connection.read_delay(moment) < moment - first_read_at + 0.01
+    assert receiving.arrivals[1] < first_read_at, "the wait still counts against the request"
+
+
 @given(st.lists(st.sampled_from([0.0, 1e-7, 0.004, 0.5]), min_size=15, max_size=15))
 def test_a_suspension_at_start_up_never_makes_the_unix_offset_too_small(stops):
     """Pauses before each clock read: the offset is too large by at most the shortest of five samples.
