A watch that waits for a slow discovery is kept until it is answered

Cause: each second another watch was opened beside one without a response, and the oldest beyond two was closed, so that none lived longer than 2 s.

Change: the interval until another watch is opened doubles with each that waits, 1 s to 2.5 s; beyond five the oldest is closed, which is then 10.5 s old. A slow source cannot be told from one that hangs, so both get further watches, and those that wait are kept.

Tests: tests/test_slow_discovery.py.

--- a/sedgepitch/decisions/discovery/watch_streams.py
+++ b/sedgepitch/decisions/discovery/watch_streams.py
@@ -10,9 +10,11 @@
 ==================  ==========================================================================================
 silence             the active stream sent nothing for HEARTBEAT_TIMEOUT_S: open a candidate beside it, from
                     the present revision
-candidate timeout   the newest candidate got no response within RESPONSE_TIMEOUT_S, or has been silent for
-                    HEARTBEAT_TIMEOUT_S since: open another. Beyond MAX_CANDIDATES the oldest is closed, so
-                    that a source that is down is tried at a steady rate with few connections
+no response         the newest candidate got no response within its retry interval, or has been silent for
+                    HEARTBEAT_TIMEOUT_S since: open another beside it. The interval doubles with each waiting
+                    candidate, from RETRY_INTERVAL_MIN_S to RETRY_INTERVAL_MAX_S: a source that is down or hangs
+                    is tried at a bounded rate, and one that serves call after call keeps up. Beyond
+                    MAX_CANDIDATES the oldest is closed, which is then at least CANDIDATE_LIFETIME_MIN_S old
 heartbeat           the candidate becomes active; the previous active stream and older candidates are closed
 lost                with another candidate open, nothing is opened; otherwise a stream is opened after a
                     backoff that doubles from BACKOFF_MIN_S to BACKOFF_MAX_S. The backoff is 0 after an active
@@ -22,7 +24,8 @@
 ==================  ==========================================================================================
 
 The owner reads the bytes that have arrived before it checks for silence, so a delay of this process is not
-mistaken for silence of the source. A source that is slow rather than silent gets a second stream.
+mistaken for silence of the source. A source that is slow cannot be told from one that hangs: it gets further
+streams, but those that wait are kept.
 """
 
 from __future__ import annotations
@@ -36,8 +39,10 @@
 HEARTBEAT_INTERVAL_S = 2.0  # the platform sends an empty line every 2 s while nothing changes
 MAX_SILENT_INTERVALS = 1.5  # the platform allows up to 3
 HEARTBEAT_TIMEOUT_S = MAX_SILENT_INTERVALS * HEARTBEAT_INTERVAL_S
-RESPONSE_TIMEOUT_S = 1.0  # the source runs on this machine and answers at once
-MAX_CANDIDATES = 2
+RETRY_INTERVAL_MIN_S = 1.0  # the source runs on this machine and usually answers at once
+RETRY_INTERVAL_MAX_S = 2.5
+MAX_CANDIDATES = 5
+CANDIDATE_LIFETIME_MIN_S = 10.5  # the sum of the first MAX_CANDIDATES retry intervals
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 0.4
 NEVER = float("inf")
@@ -89,7 +94,7 @@
     def opened(self, key: Key, now: float) -> list[Key]:
         """Record that a candidate is being opened; return the candidates to close in exchange."""
         self.open_at = NEVER
-        self._streams[key] = _Stream(now, now, RESPONSE_TIMEOUT_S)
+        self._streams[key] = _Stream(now, now, self._retry_interval_s())
         self.candidates.append(key)
         return self._remove(self.candidates[:-MAX_CANDIDATES])
 
@@ -150,6 +155,10 @@
         """Return all streams in use."""
         return list(self._streams)
 
+    def _retry_interval_s(self) -> float:
+        """Return how long to wait for the next candidate until another is opened beside it."""
+        return min(RETRY_INTERVAL_MIN_S * 2.0 ** len(self.candidates), RETRY_INTERVAL_MAX_S)
+
     def _remove(self, keys: list[Key]) -> list[Key]:
         for key in keys:
             del self._streams[key]
--- a/tests/support/platform.py
+++ b/tests/support/platform.py
@@ -133,6 +133,7 @@
         self.first_object: bytes = b""
         self.targets: list[str] = []
         self.watches: list[socket.socket] = []
+        self.delay_s = 0.0  # from a call to the beginning of its answer
         outer = self
 
         class Handler(socketserver.BaseRequestHandler):
@@ -141,6 +142,7 @@
                 outer.targets.append(stream.readline().decode().split()[1])
                 while stream.readline().strip():
                     pass
+                time.sleep(outer.delay_s)
                 self.request.sendall(
                     b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk(outer.first_object)
                 )
--- /dev/null
+++ b/tests/support/slow_discovery.py
@@ -0,0 +1,205 @@
+"""A discovery client with emulated sources in virtual time: late, hanging, refused and trickled answers.
+
+The client, its watch connections and the HTTP exchange are the real ones; only `connect` is replaced.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from twisted.internet import task
+from twisted.internet.error import ConnectionLost, ConnectionRefusedError, TimeoutError
+from twisted.python.failure import Failure
+
+from sedgepitch.core.clock import FakeClock
+from sedgepitch.decisions.discovery.list_versions import Address, ListVersion
+from sedgepitch.discovery import watch_connection
+from sedgepitch.discovery.client import DiscoveryClient
+
+HANGS = float("inf")
+HEARTBEAT_INTERVAL_S = 2.0
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(data: bytes) -> bytes:
+    """Return one chunk of an HTTP/1.1 chunked body."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+class EmulatedCall:
+    """One connection to a source; also the transport and the connector of the client's side."""
+
+    def __init__(self, source: EmulatedSource, protocol: watch_connection.WatchConnection) -> None:
+        self.source = source
+        self.protocol = protocol
+        self.number = len(source.calls)
+        self.open = True
+        self.silent = False  # nothing is sent any more
+        self._sending_until = 0.0
+
+    def set_no_delay(self) -> None:
+        """Do nothing: there is no socket."""
+
+    def write(self, data: bytes) -> None:
+        """Take the request."""
+        self.source.serve(self)
+
+    def abortConnection(self) -> None:
+        """Close from the client's side; a source that serves one by one still serves the call."""
+        self.open = False
+
+    def disconnect(self) -> None:
+        """Stop connecting."""
+        self.open = False
+
+    def send(self, data: bytes) -> None:
+        """Deliver bytes to the client, one at a time if the source trickles."""
+        interval_s = self.source.byte_interval_s
+        if not interval_s:
+            self._deliver(data)
+            return
+        now = self.source.clock.seconds()
+        for byte in data:
+            self._sending_until = max(self._sending_until, now) + interval_s
+            self.source.clock.callLater(self._sending_until - now, self._deliver, bytes([byte]))
+
+    def _deliver(self, data: bytes) -> None:
+        if self.open:
+            self.protocol.dataReceived(data)
+
+    def reset(self) -> None:
+        """Reset the connection from the source's side."""
+        if self.open:
+            self.open = False
+            self.protocol.connectionLost(Failure(ConnectionLost()))
+
+    def answer(self) -> None:
+        """Send the complete list, then heartbeats."""
+        if self.open:
+            self.send(HEAD + chunk(self.source.list_bytes()))
+            self.source.clock.callLater(HEARTBEAT_INTERVAL_S, self._heartbeat)
+
+    def _heartbeat(self) -> None:
+        if self.open and not self.silent:
+            self.send(chunk(b"\n"))
+            self.source.clock.callLater(HEARTBEAT_INTERVAL_S, self._heartbeat)
+
+
+class EmulatedSource:
+    """One discovery address. `delay_s(n)` is the time from the n-th call to the beginning of its answer."""
+
+    def __init__(
+        self,
+        clock: task.Clock,
+        delay_s: Callable[[int], float] = lambda number: 0.0,
+        one_by_one: bool = False,
+        byte_interval_s: float = 0.0,
+        connect_delay_s: float = 0.0,
+    ) -> None:
+        self.clock = clock
+        self.delay_s = delay_s
+        self.one_by_one = one_by_one  # each call is served after the one before, also if that was given up
+        self.byte_interval_s = byte_interval_s
+        self.connect_delay_s = connect_delay_s
+        self.refused = False
+        self.revision = 1
+        self.calls: list[EmulatedCall] = []
+        self._free_at = 0.0
+
+    def list_bytes(self) -> bytes:
+        """Return the complete list; its only content is the revision."""
+        return json.dumps({"revision": self.revision, "complete": True, "members": []}).encode() + b"\n"
+
+    def serve(self, call: EmulatedCall) -> None:
+        """Schedule the answer of a call."""
+        delay_s = self.delay_s(call.number)
+        if delay_s == HANGS:
+            return
+        begins_at = self.clock.seconds() + delay_s
+        if self.one_by_one:
+            begins_at = max(self.clock.seconds(), self._free_at) + delay_s
+            self._free_at = begins_at
+        self.clock.callLater(begins_at - self.clock.seconds(), call.answer)
+
+    def reset_all(self) -> None:
+        """Reset all open connections."""
+        for call in self.calls:
+            call.reset()
+
+    def silence_all(self) -> None:
+        """Let all present watches fall silent."""
+        for call in self.calls:
+            call.silent = True
+
+    @property
+    def open_calls(self) -> int:
+        """Return how many connections the client holds open."""
+        return sum(call.open for call in self.calls)
+
+
+class SlowDiscovery:
+    """One discovery client and the sources that it may be configured with."""
+
+    def __init__(self, monkeypatch) -> None:
+        self.clock = task.Clock()
+        self.sources: dict[Address, EmulatedSource] = {}
+        self.heard: list[tuple[float, int]] = []  # (time, revision) of each version
+        self.lost: list[str] = []
+        self.most_open = 0
+        self.client: DiscoveryClient | None = None
+        monkeypatch.setattr(watch_connection, "connect", self._connect)
+
+    def add(self, name: str, source: EmulatedSource) -> Address:
+        """Add a source; return its address."""
+        address = (name, 1)
+        self.sources[address] = source
+        return address
+
+    def start(self, address: Address) -> None:
+        """Start the client."""
+        self.client = DiscoveryClient(
+            None,
+            FakeClock(self.clock),
+            address,
+            0.0,
+            held_revision=lambda: max((revision for _, revision in self.heard), default=0),
+            on_version=self._version,
+            on_lost=self.lost.append,
+        )
+        self.client.start()
+
+    def _version(self, version: ListVersion) -> None:
+        self.heard.append((self.clock.seconds(), version.revision))
+
+    def _connect(self, reactor, host, port, factory, timeout_s) -> EmulatedCall:
+        source = self.sources[host, port]
+        call = EmulatedCall(source, factory)
+        if source.refused:
+            self.clock.callLater(0.0, self._fail, call, ConnectionRefusedError())
+        elif source.connect_delay_s > timeout_s:
+            self.clock.callLater(timeout_s, self._fail, call, TimeoutError())
+        else:
+            self.clock.callLater(source.connect_delay_s, self._connected, call)
+        source.calls.append(call)
+        self.most_open = max(self.most_open, sum(s.open_calls for s in self.sources.values()))
+        return call
+
+    def _fail(self, call: EmulatedCall, reason: Exception) -> None:
+        if call.open:
+            call.open = False
+            call.protocol.clientConnectionFailed(call, Failure(reason))
+
+    def _connected(self, call: EmulatedCall) -> None:
+        if call.open:
+            call.protocol.makeConnection(call)
+
+    def run_until(self, end: float) -> None:
+        """Run all events up to a time, each at its own time."""
+        while self.clock.calls and self.clock.calls[0].getTime() <= end:
+            self.clock.advance(max(0.0, self.clock.calls[0].getTime() - self.clock.seconds()))
+        self.clock.advance(max(0.0, end - self.clock.seconds()))
+
+    def known_at(self, revision: int) -> float:
+        """Return when the client first had a revision; HANGS if it never did."""
+        return min((time for time, heard in self.heard if heard >= revision), default=HANGS)
--- /dev/null
+++ b/tests/test_slow_discovery.py
@@ -0,0 +1,163 @@
+"""A discovery that answers late, hangs, trickles, or serves one call at a time is heard.
+
+In virtual time, and on a real process at the end.
+"""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+
+import pytest
+
+from sedgepitch.decisions.discovery.watch_streams import (
+    CANDIDATE_LIFETIME_MIN_S,
+    HEARTBEAT_TIMEOUT_S,
+    MAX_CANDIDATES,
+    RETRY_INTERVAL_MAX_S,
+)
+from tests.support.platform import TIMEOUT_S, DiscoveryAgent, Platform
+from tests.support.slow_discovery import HANGS, EmulatedSource, SlowDiscovery
+
+LONGEST_DELAY_S = 10.0
+DELAY_STEP_S = 0.25
+DELAYS_S = [DELAY_STEP_S * n for n in range(int(LONGEST_DELAY_S / DELAY_STEP_S) + 1)]
+NOTIFIED_WITHIN_S = 6.0  # the platform: a change counts as notified at the latest this long after a silence
+RELOADED_WITHIN_S = 4.0  # the platform: and this long after SIGHUP
+QUIET_S = 60.0
+PATTERNS = {
+    "constant": lambda delay, rng: lambda n: delay,
+    "growing": lambda delay, rng: lambda n: min(LONGEST_DELAY_S, delay + DELAY_STEP_S * n),
+    "shrinking": lambda delay, rng: lambda n: max(0.0, delay - DELAY_STEP_S * n),
+    "drawn anew": lambda delay, rng: lambda n: rng.uniform(0.0, delay),
+}
+PATHS = ("start", "reset", "silence", "move")
+
+
+def play_until_asked(discovery: SlowDiscovery, path: str, source: EmulatedSource) -> float:
+    """Bring a client to the point where it has to hear from a slow source; return that time."""
+    slow = discovery.add("slow", source)
+    if path == "start":
+        discovery.start(slow)
+        return 0.0
+    prompt = discovery.add("prompt", EmulatedSource(discovery.clock))
+    discovery.start(slow if path != "move" else prompt)
+    if path == "move":
+        discovery.run_until(5.0)
+        source.revision = 2
+        discovery.client.set_address(slow)
+        return 5.0
+    discovery.run_until(60.0)
+    source.revision = 2
+    if path == "reset":
+        source.reset_all()
+        return 60.0
+    source.silence_all()
+    return 60.0
+
+
+def slow_source(discovery: SlowDiscovery, path: str, pattern: str, delay_s: float) -> EmulatedSource:
+    """Return a source whose calls take times of a pattern; its first list is prompt unless it starts."""
+    later = PATTERNS[pattern](delay_s, random.Random(f"{path}/{pattern}/{delay_s}"))
+    return EmulatedSource(discovery.clock, later)
+
+
+# Guards against a watch that is given up before a slow discovery begins its answer: no drain is known.
+@pytest.mark.parametrize("pattern", PATTERNS)
+@pytest.mark.parametrize("path", PATHS)
+def test_a_slow_discovery_is_heard_within_its_delay(monkeypatch, path, pattern):
+    for delay_s in DELAYS_S:
+        discovery = SlowDiscovery(monkeypatch)
+        source = slow_source(discovery, path, pattern, delay_s)
+        asked_at = play_until_asked(discovery, path, source)
+        discovery.run_until(asked_at + QUIET_S)
+        revision = 1 if path == "start" else 2
+        silence_s = HEARTBEAT_TIMEOUT_S if path == "silence" else 0.0
+        longest_s = LONGEST_DELAY_S if pattern == "growing" else delay_s
+        assert discovery.known_at(revision) <= asked_at + silence_s + longest_s + 0.01, (delay_s, pattern)
+        assert discovery.most_open <= MAX_CANDIDATES + 1
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 1.2, 2.5, 3.0])
+@pytest.mark.parametrize("path", PATHS)
+def test_a_change_is_known_in_the_time_that_the_platform_allows(monkeypatch, path, delay_s):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: delay_s)
+    asked_at = play_until_asked(discovery, path, source)
+    discovery.run_until(asked_at + QUIET_S)
+    allowed_s = RELOADED_WITHIN_S if path == "move" else NOTIFIED_WITHIN_S
+    assert discovery.known_at(1 if path == "start" else 2) <= asked_at + allowed_s + 0.01
+
+
+# Guards against a call that hangs and keeps the calls beside it from being heard.
+@pytest.mark.parametrize("hanging", [1, 2, 3])
+@pytest.mark.parametrize("path", PATHS)
+def test_slow_calls_beside_hanging_ones_are_heard(monkeypatch, path, hanging):
+    for delay_s in DELAYS_S:
+        discovery = SlowDiscovery(monkeypatch)
+        source = EmulatedSource(discovery.clock)
+        asked_at = play_until_asked(discovery, path, source)
+        first = len(source.calls) - 1 if path in ("start", "move") else len(source.calls)
+        source.delay_s = lambda number, first=first, late=delay_s: HANGS if number < first + hanging else late
+        discovery.run_until(asked_at + QUIET_S)
+        retries_s = sum((1.0, 2.0, 2.5)[:hanging])
+        silence_s = HEARTBEAT_TIMEOUT_S if path == "silence" else 0.0
+        known_at = discovery.known_at(1 if path == "start" else 2)
+        assert known_at <= asked_at + silence_s + retries_s + delay_s + 0.01, delay_s
+
+
+def test_a_source_that_hangs_is_tried_at_a_bounded_rate_and_heard_when_it_answers_again(monkeypatch):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: HANGS)
+    discovery.start(discovery.add("slow", source))
+    discovery.run_until(QUIET_S)
+    assert len(source.calls) <= 3 + QUIET_S / RETRY_INTERVAL_MAX_S
+    assert discovery.most_open <= MAX_CANDIDATES
+    source.delay_s = lambda number: 0.0
+    discovery.run_until(2.0 * QUIET_S)
+    assert discovery.known_at(1) <= QUIET_S + RETRY_INTERVAL_MAX_S + 0.01
+
+
+def test_no_candidate_is_closed_before_its_lifetime(monkeypatch):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: CANDIDATE_LIFETIME_MIN_S - 0.01)
+    discovery.start(discovery.add("slow", source))
+    discovery.run_until(QUIET_S)
+    assert discovery.known_at(1) <= CANDIDATE_LIFETIME_MIN_S
+    assert CANDIDATE_LIFETIME_MIN_S > LONGEST_DELAY_S
+
+
+# On a real process
+
+SLOW_ANSWER_S = 2.5
+
+
+# Guards against a drain that is never known because discovery takes 2.5 s to begin its answers.
+@pytest.mark.parametrize("path", ["start", "reset", "move"])
+def test_a_process_hears_a_discovery_that_begins_its_answers_late(tmp_path, path):
+    platform = Platform(tmp_path)
+    slow = DiscoveryAgent() if path == "move" else platform.agent
+    if path == "start":
+        slow.delay_s = SLOW_ANSWER_S
+    platform.configure()
+    platform.start()
+    try:
+        if path != "start":
+            platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
+        slow.delay_s = SLOW_ANSWER_S
+        slow.first_object = platform.version(2, s_2="draining")
+        if path == "reset":
+            slow.server.shutdown_request(slow.watches[0])
+        elif path == "move":
+            platform.configure(slow)
+            platform.signal(signal.SIGHUP)
+        asked_at = time.monotonic()
+        platform.wait_for("endpoint_list.updated revision=2")
+        assert time.monotonic() - asked_at < RELOADED_WITHIN_S
+        platform.signal(signal.SIGTERM)
+        assert platform.process.wait(timeout=TIMEOUT_S) == 0
+    finally:
+        platform.close()
+        if slow is not platform.agent:
+            slow.close()
