A watch that was heard is not replaced until it is silent or lost

Cause: the newest candidate's time-out applied whenever there was a candidate, also beside an active stream that was heard, so each answer met a call that was out already.

Change: WatchStreams holds whether a replacement is being searched for, and opens a stream beside a candidate only then.

--- a/sedgepitch/decisions/discovery/watch_streams.py
+++ b/sedgepitch/decisions/discovery/watch_streams.py
@@ -12,13 +12,17 @@
                     the present revision
 no response         the newest candidate got no response within its retry interval, or has been silent for
                     HEARTBEAT_TIMEOUT_S since: open another beside it. The interval doubles with each waiting
-                    candidate, from RETRY_INTERVAL_MIN_S to RETRY_INTERVAL_MAX_S: a source that is down or hangs
-                    is tried at a bounded rate, and one that serves call after call keeps up. Beyond
+                    candidate, from RETRY_INTERVAL_MIN_S to RETRY_INTERVAL_MAX_S: a source that is down or
+                    hangs is tried at a bounded rate, and one that serves call after call keeps up. Beyond
                     MAX_CANDIDATES the oldest is closed, which is then at least CANDIDATE_LIFETIME_MIN_S old
-heartbeat           the candidate becomes active; the previous active stream and older candidates are closed
+heartbeat           the candidate becomes active; the previous active stream and older candidates are closed.
+                    Newer ones are kept, since the source may have begun to serve them, and not replaced: no
+                    stream is opened until the active one is silent or lost. Those that are still without a
+                    response after CANDIDATE_LIFETIME_MIN_S are closed at a heartbeat of the active stream
 lost                with another candidate open, nothing is opened; otherwise a stream is opened after a
                     backoff that doubles from BACKOFF_MIN_S to BACKOFF_MAX_S. The backoff is 0 after an active
-                    stream that was open for at least HEARTBEAT_INTERVAL_S
+                    stream that was open for at least HEARTBEAT_INTERVAL_S. Nothing is opened for a candidate
+                    beside an active stream that needs no replacement
 source moved        a candidate is opened at the new address at once; the active stream stays until the
                     candidate has sent something
 ==================  ==========================================================================================
@@ -63,13 +67,14 @@
     `source_moved` return.
     """
 
-    __slots__ = ("_backoff_s", "_streams", "active", "candidates", "open_at")
+    __slots__ = ("_backoff_s", "_searching", "_streams", "active", "candidates", "open_at")
 
     def __init__(self) -> None:
         self.active: Key | None = None
         self.candidates: list[Key] = []  # oldest first
         self.open_at = -NEVER  # when to open the next one after a loss or a move; NEVER if none is due
         self._streams: dict[Key, _Stream] = {}
+        self._searching = True  # no active stream, or one that is to be replaced
         self._backoff_s = 0.0
 
     def in_use(self, key: Key) -> bool:
@@ -84,16 +89,15 @@
         """Return when to open the next stream if no event occurs before; NEVER if none is due."""
         if self.open_at < NEVER:
             return self.open_at  # a backoff also applies while the active stream is silent
-        if self.candidates:
-            newest = self._streams[self.candidates[-1]]
-            return newest.last_activity + newest.silence_limit_s
-        if self.active is None:
-            return NEVER
-        return self._streams[self.active].last_activity + HEARTBEAT_TIMEOUT_S
+        if not self._searching and self.active is not None:
+            silent_at = self._streams[self.active].last_activity + HEARTBEAT_TIMEOUT_S
+            return max(silent_at, self._newest_candidate_due_at())
+        return self._newest_candidate_due_at()
 
     def opened(self, key: Key, now: float) -> list[Key]:
         """Record that a candidate is being opened; return the candidates to close in exchange."""
         self.open_at = NEVER
+        self._searching = True
         self._streams[key] = _Stream(now, now, self._retry_interval_s())
         self.candidates.append(key)
         return self._remove(self.candidates[:-MAX_CANDIDATES])
@@ -112,10 +116,11 @@
             return []
         stream.last_activity = now
         if key is self.active:
-            return []
+            return [] if self._searching else self._remove(self._unanswered_candidates(now))
         replaced = [] if self.active is None else [self.active]
         replaced += self.candidates[: self.candidates.index(key)]
         self.active = key
+        self._searching = False
         self.candidates.remove(key)
         return self._remove(replaced)
 
@@ -136,10 +141,11 @@
         was_active = key is self.active
         if was_active:
             self.active = None
+            self._searching = True
         else:
             self.candidates.remove(key)
-        if self.candidates:
-            return  # the timeout of the newest candidate applies
+        if self.candidates or not self._searching:
+            return  # what is due for the newest candidate or for the active stream applies
         if was_active and now - stream.opened_at >= HEARTBEAT_INTERVAL_S:
             self._backoff_s = 0.0
         self.open_at = min(self.open_at, now + self._backoff_s)
@@ -148,6 +154,7 @@
     def source_moved(self) -> list[Key]:
         """Record that the source moved; return the candidates at the old address, to be closed."""
         self.open_at = -NEVER
+        self._searching = True
         self._backoff_s = 0.0
         return self._remove(list(self.candidates))
 
@@ -155,6 +162,21 @@
         """Return all streams in use."""
         return list(self._streams)
 
+    def _newest_candidate_due_at(self) -> float:
+        """Return when to open another stream beside the newest candidate; -NEVER if there is none."""
+        if not self.candidates:
+            return -NEVER
+        newest = self._streams[self.candidates[-1]]
+        return newest.last_activity + newest.silence_limit_s
+
+    def _unanswered_candidates(self, now: float) -> list[Key]:
+        """Return the candidates that have waited for longer than any response is expected to take."""
+        return [
+            key
+            for key in self.candidates
+            if now - self._streams[key].last_activity >= CANDIDATE_LIFETIME_MIN_S
+        ]
+
     def _retry_interval_s(self) -> float:
         """Return how long to wait for the next candidate until another is opened beside it."""
         return min(RETRY_INTERVAL_MIN_S * 2.0 ** len(self.candidates), RETRY_INTERVAL_MAX_S)
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -128,6 +128,41 @@
     assert CANDIDATE_LIFETIME_MIN_S > LONGEST_DELAY_S
 
 
+# Guards against a watch that was heard and is replaced again and again, as long as answers take over 1 s.
+@pytest.mark.parametrize("one_by_one", [False, True])
+@pytest.mark.parametrize("path", PATHS)
+def test_no_watch_is_opened_beside_one_that_was_heard(monkeypatch, path, one_by_one):
+    for delay_s in DELAYS_S:
+        discovery = SlowDiscovery(monkeypatch)
+        source = EmulatedSource(discovery.clock, lambda number, late=delay_s: late, one_by_one)
+        asked_at = play_until_asked(discovery, path, source)
+        discovery.run_until(asked_at + QUIET_S)
+        calls = len(source.calls)
+        discovery.run_until(asked_at + 2.0 * QUIET_S)
+        assert len(source.calls) == calls and source.open_calls == 1, delay_s
+        assert calls <= 2 * MAX_CANDIDATES
+
+
+# Guards against calls that are given up and hold up all later ones, where discovery serves one at a time.
+@pytest.mark.parametrize("delay_s", [0.5, 1.2, 2.5, 3.0])
+@pytest.mark.parametrize("path", PATHS)
+def test_a_discovery_that_serves_one_call_at_a_time_is_heard_in_time(monkeypatch, path, delay_s):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: delay_s, one_by_one=True)
+    asked_at = play_until_asked(discovery, path, source)
+    discovery.run_until(asked_at + QUIET_S)
+    allowed_s = RELOADED_WITHIN_S if path == "move" else NOTIFIED_WITHIN_S
+    assert discovery.known_at(1 if path == "start" else 2) <= asked_at + allowed_s + 0.01
+
+
+def test_a_candidate_that_hangs_beside_a_heard_watch_is_closed(monkeypatch):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: HANGS if number else 1.2)
+    discovery.start(discovery.add("slow", source))
+    discovery.run_until(QUIET_S)
+    assert len(source.calls) == 2 and source.open_calls == 1
+
+
 # On a real process
 
 SLOW_ANSWER_S = 2.5
@@ -161,3 +196,19 @@
         platform.close()
         if slow is not platform.agent:
             slow.close()
+
+
+# Guards against a process that calls a slow discovery each second for good, though its watch is heard.
+def test_a_process_keeps_the_watch_that_a_slow_discovery_has_answered(tmp_path):
+    platform = Platform(tmp_path)
+    platform.agent.delay_s = 1.2
+    platform.configure()
+    platform.start()
+    try:
+        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
+        for _ in range(12):
+            time.sleep(0.5)
+            platform.agent.send(b"\n")
+        assert len(platform.agent.targets) == 2, "the first call, and one beside it after a second"
+    finally:
+        platform.close()
