The oldest call to discovery is kept until it is answered

Callers saw: where discovery serves one call at a time, given-up ones too, and has stalled or is slower than the calls are apart, the proxy was not heard behind its own earlier calls.

Cause: beyond the permitted number the oldest watch was closed, which is the one that such a source serves next.

Change: the second oldest is closed in its place, at an age of 12 s or more; six may wait (five before).

Test: test_a_discovery_that_stalls_and_then_serves_all_calls_in_order_is_heard_first_of_all failed on for stalls of 5 and 30 s (2 of 3), and passes now.

--- a/sedgepitch/decisions/discovery/watch_streams.py
+++ b/sedgepitch/decisions/discovery/watch_streams.py
@@ -14,7 +14,9 @@
                     HEARTBEAT_TIMEOUT_S since: open another beside it. The interval doubles with each waiting
                     candidate, from RETRY_INTERVAL_MIN_S to RETRY_INTERVAL_MAX_S: a source that is down or
                     hangs is tried at a bounded rate, and one that serves call after call keeps up. Beyond
-                    MAX_CANDIDATES the oldest is closed, which is then at least CANDIDATE_LIFETIME_MIN_S old
+                    MAX_CANDIDATES the second oldest is closed, at an age of CANDIDATE_LIFETIME_MIN_S or more.
+                    The oldest waits for as long as it takes: it is the first to be served by a source that
+                    also serves what was given up
 heartbeat           the candidate becomes active; the previous active stream and older candidates are closed.
                     Newer ones are kept, since the source may have begun to serve them, and not replaced: no
                     stream is opened until the active one is silent or lost. Those that are still without a
@@ -45,8 +47,8 @@
 HEARTBEAT_TIMEOUT_S = MAX_SILENT_INTERVALS * HEARTBEAT_INTERVAL_S
 RETRY_INTERVAL_MIN_S = 1.0  # the source runs on this machine and usually answers at once
 RETRY_INTERVAL_MAX_S = 2.5
-MAX_CANDIDATES = 5
-CANDIDATE_LIFETIME_MIN_S = 10.5  # the sum of the first MAX_CANDIDATES retry intervals
+MAX_CANDIDATES = 6
+CANDIDATE_LIFETIME_MIN_S = 12.0  # the sum of the retry intervals of MAX_CANDIDATES but the first
 BACKOFF_MIN_S = 0.05
 BACKOFF_MAX_S = 0.4
 NEVER = float("inf")
@@ -100,7 +102,7 @@
         self._searching = True
         self._streams[key] = _Stream(now, now, self._retry_interval_s())
         self.candidates.append(key)
-        return self._remove(self.candidates[:-MAX_CANDIDATES])
+        return self._remove(self.candidates[1:2] if len(self.candidates) > MAX_CANDIDATES else [])
 
     def response_started(self, key: Key, now: float) -> None:
         """Record that the source accepted the watch; its first heartbeat may take a whole interval."""
--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -105,7 +105,7 @@
         self.refused = False
         self.revision = 1
         self.calls: list[EmulatedCall] = []
-        self._free_at = 0.0
+        self.free_at = 0.0  # when the calls before have been served, if one by one
 
     def list_bytes(self) -> bytes:
         """Return the complete list; its only content is the revision."""
@@ -118,8 +118,8 @@
             return
         begins_at = self.clock.seconds() + delay_s
         if self.one_by_one:
-            begins_at = max(self.clock.seconds(), self._free_at) + delay_s
-            self._free_at = begins_at
+            begins_at = max(self.clock.seconds(), self.free_at) + delay_s
+            self.free_at = begins_at
         self.clock.callLater(begins_at - self.clock.seconds(), call.answer)
 
     def reset_all(self) -> None:
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -155,6 +155,21 @@
     assert discovery.known_at(1 if path == "start" else 2) <= asked_at + allowed_s + 0.01
 
 
+# Guards against a backlog of given-up calls in which no call is waited for until it is served.
+@pytest.mark.parametrize("stalled_s", [0.0, 5.0, 30.0])
+def test_a_discovery_that_stalls_and_then_serves_all_calls_in_order_is_heard_first_of_all(
+    monkeypatch, stalled_s
+):
+    for delay_s in DELAYS_S:
+        discovery = SlowDiscovery(monkeypatch)
+        source = EmulatedSource(discovery.clock, lambda number, late=delay_s: late, one_by_one=True)
+        source.free_at = stalled_s
+        discovery.start(discovery.add("slow", source))
+        discovery.run_until(stalled_s + QUIET_S)
+        assert discovery.known_at(1) <= stalled_s + delay_s + 0.01, delay_s
+        assert discovery.most_open <= MAX_CANDIDATES + 1
+
+
 def test_a_candidate_that_hangs_beside_a_heard_watch_is_closed(monkeypatch):
     discovery = SlowDiscovery(monkeypatch)
     source = EmulatedSource(discovery.clock, lambda number: HANGS if number else 1.2)
