A new address of discovery does not close the calls that are out

Callers saw: several SIGHUPs, less far apart than discovery takes to answer, and nothing was heard from any address until after the last of them; a drain stayed unknown for as long.

Cause: each move closed all watches that waited, also one to the address of before.

Change: a move closes nothing. A move back waits for the call that is out there. A watch at a former address never replaces one at the present address, and its loss is neither replaced nor logged.

--- a/sedgepitch/decisions/discovery/watch_streams.py
+++ b/sedgepitch/decisions/discovery/watch_streams.py
@@ -25,8 +25,10 @@
                     backoff that doubles from BACKOFF_MIN_S to BACKOFF_MAX_S. The backoff is 0 after an active
                     stream that was open for at least HEARTBEAT_INTERVAL_S. Nothing is opened for a candidate
                     beside an active stream that needs no replacement
-source moved        a candidate is opened at the new address at once; the active stream stays until the
-                    candidate has sent something
+source moved        a candidate is opened at the new address at once, unless one waits there already. The
+                    active stream and the candidates at former addresses stay until a stream at the new one
+                    has sent something; beyond MAX_CANDIDATES the newest of those candidates is closed first.
+                    One of them that is lost is not replaced
 ==================  ==========================================================================================
 
 The owner reads the bytes that have arrived before it checks for silence, so a delay of this process is not
@@ -56,6 +58,7 @@
 
 @dataclass(slots=True)
 class _Stream:
+    source: Hashable
     opened_at: float
     last_activity: float  # `opened_at` until something has arrived
     silence_limit_s: float  # after `last_activity`, until another candidate is opened
@@ -65,17 +68,18 @@
     """The watch streams of one source.
 
     Performs no I/O. Times are passed in, in seconds of one monotonic clock; keys are the owner's connections.
-    The owner opens a stream whenever `should_open` is true, and closes those that `opened`, `heartbeat` and
-    `source_moved` return.
+    `source` identifies the address at which streams are opened. The owner opens a stream whenever
+    `should_open` is true, and closes those that `opened` and `heartbeat` return.
     """
 
-    __slots__ = ("_backoff_s", "_searching", "_streams", "active", "candidates", "open_at")
+    __slots__ = ("_backoff_s", "_searching", "_source", "_streams", "active", "candidates", "open_at")
 
-    def __init__(self) -> None:
+    def __init__(self, source: Hashable = None) -> None:
         self.active: Key | None = None
         self.candidates: list[Key] = []  # oldest first
         self.open_at = -NEVER  # when to open the next one after a loss or a move; NEVER if none is due
         self._streams: dict[Key, _Stream] = {}
+        self._source = source
         self._searching = True  # no active stream, or one that is to be replaced
         self._backoff_s = 0.0
 
@@ -100,9 +104,11 @@
         """Record that a candidate is being opened; return the candidates to close in exchange."""
         self.open_at = NEVER
         self._searching = True
-        self._streams[key] = _Stream(now, now, self._retry_interval_s())
+        self._streams[key] = _Stream(self._source, now, now, self._retry_interval_s())
         self.candidates.append(key)
-        return self._remove(self.candidates[1:2] if len(self.candidates) > MAX_CANDIDATES else [])
+        if len(self.candidates) <= MAX_CANDIDATES:
+            return []
+        return self._remove([self._least_useful_candidate()])
 
     def response_started(self, key: Key, now: float) -> None:
         """Record that the source accepted the watch; its first heartbeat may take a whole interval."""
@@ -119,10 +125,13 @@
         stream.last_activity = now
         if key is self.active:
             return [] if self._searching else self._remove(self._unanswered_candidates(now))
-        replaced = [] if self.active is None else [self.active]
-        replaced += self.candidates[: self.candidates.index(key)]
+        if self._is_former(key) and self.active is not None and not self._is_former(self.active):
+            return self._remove([key])
+        replaced = self._candidates_superseded_by(key)
+        if self.active is not None:
+            replaced.append(self.active)
+        self._searching = self._is_former(key)
         self.active = key
-        self._searching = False
         self.candidates.remove(key)
         return self._remove(replaced)
 
@@ -135,30 +144,36 @@
         if stream is not None and now - started_at < HEARTBEAT_TIMEOUT_S:
             stream.last_activity = now
 
-    def lost(self, key: Key, now: float) -> None:
-        """Record that a stream ended, could not be opened, or sent malformed data."""
+    def lost(self, key: Key, now: float) -> bool:
+        """Record that a stream ended, could not be opened, or sent malformed data.
+
+        Return whether changes can be missed for it, or another stream is opened in its place.
+        """
         stream = self._streams.pop(key, None)
         if stream is None:
-            return
+            return False
         was_active = key is self.active
         if was_active:
             self.active = None
             self._searching = True
         else:
             self.candidates.remove(key)
-        if self.candidates or not self._searching:
-            return  # what is due for the newest candidate or for the active stream applies
+            if stream.source != self._source:
+                return False  # as is to be expected of a former address
+        if self._current_candidates() or not self._searching:
+            return was_active  # what is due for the newest candidate or for the active stream applies
         if was_active and now - stream.opened_at >= HEARTBEAT_INTERVAL_S:
             self._backoff_s = 0.0
         self.open_at = min(self.open_at, now + self._backoff_s)
         self._backoff_s = min(max(BACKOFF_MIN_S, 2.0 * self._backoff_s), BACKOFF_MAX_S)
+        return True
 
-    def source_moved(self) -> list[Key]:
-        """Record that the source moved; return the candidates at the old address, to be closed."""
-        self.open_at = -NEVER
+    def source_moved(self, source: Hashable) -> None:
+        """Record that the source is at an address from now on, which may be one that it had before."""
+        self._source = source
         self._searching = True
         self._backoff_s = 0.0
-        return self._remove(list(self.candidates))
+        self.open_at = NEVER if self._current_candidates() else -NEVER
 
     def all(self) -> list[Key]:
         """Return all streams in use."""
@@ -166,11 +181,35 @@
 
     def _newest_candidate_due_at(self) -> float:
         """Return when to open another stream beside the newest candidate; -NEVER if there is none."""
-        if not self.candidates:
+        candidates = self._current_candidates()
+        if not candidates:
             return -NEVER
-        newest = self._streams[self.candidates[-1]]
+        newest = self._streams[candidates[-1]]
         return newest.last_activity + newest.silence_limit_s
 
+    def _is_former(self, key: Key) -> bool:
+        """Return whether a stream was opened at a former address."""
+        return self._streams[key].source != self._source
+
+    def _current_candidates(self) -> list[Key]:
+        """Return the candidates at the present address, oldest first."""
+        return [key for key in self.candidates if not self._is_former(key)]
+
+    def _candidates_superseded_by(self, heard: Key) -> list[Key]:
+        """Return the older candidates, and those at former addresses if this one is at the present one."""
+        older = self.candidates[: self.candidates.index(heard)]
+        if self._is_former(heard):
+            return [key for key in older if self._is_former(key)]
+        return [key for key in self.candidates if key in older or self._is_former(key)]
+
+    def _least_useful_candidate(self) -> Key:
+        """Return the newest candidate at a former address, or else the second oldest one.
+
+        The oldest are the first that can be answered, however fast addresses change.
+        """
+        former = [key for key in self.candidates if self._is_former(key)]
+        return former[-1] if former else self.candidates[1]
+
     def _unanswered_candidates(self, now: float) -> list[Key]:
         """Return the candidates that have waited for longer than any response is expected to take."""
         return [
@@ -181,7 +220,7 @@
 
     def _retry_interval_s(self) -> float:
         """Return how long to wait for the next candidate until another is opened beside it."""
-        return min(RETRY_INTERVAL_MIN_S * 2.0 ** len(self.candidates), RETRY_INTERVAL_MAX_S)
+        return min(RETRY_INTERVAL_MIN_S * 2.0 ** len(self._current_candidates()), RETRY_INTERVAL_MAX_S)
 
     def _remove(self, keys: list[Key]) -> list[Key]:
         for key in keys:
--- a/sedgepitch/discovery/client.py
+++ b/sedgepitch/discovery/client.py
@@ -44,7 +44,7 @@
         self.held_revision = held_revision
         self.on_version = on_version
         self.on_lost = on_lost
-        self.streams: WatchStreams[WatchConnection] = WatchStreams()
+        self.streams: WatchStreams[WatchConnection] = WatchStreams(address)
         self.needs_complete_list = False  # set by a malformed object, until a complete list has arrived
         self.stopped = False
         self._timer: Any = None
@@ -54,11 +54,11 @@
         self._check(self.clock.now())
 
     def set_address(self, address: Address) -> None:
-        """Switch to another address; the active stream stays open until a stream from there has sent data."""
+        """Switch to another address; present streams stay open until a stream from there has sent data."""
         if self.stopped:
             return
         self.address = address
-        self._close(self.streams.source_moved())
+        self.streams.source_moved(address)
         self._check(self.clock.now())
 
     def stop(self) -> None:
@@ -109,8 +109,8 @@
         """Record the loss of a stream that is still in use."""
         if self.stopped or not self.streams.in_use(watch):
             return
-        self.streams.lost(watch, self.clock.now())
-        self.on_lost(reason)
+        if self.streams.lost(watch, self.clock.now()):
+            self.on_lost(reason)
         self._schedule_check()
 
     # Scheduling of the next stream
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -178,6 +178,74 @@
     assert len(source.calls) == 2 and source.open_calls == 1
 
 
+# Configurations that follow each other faster than discovery answers
+
+MOVES = 12
+OLD_CLOSES_S = 1.5  # the platform: a former address closes its watches this long after SIGHUP
+
+
+def move_in_series(
+    discovery: SlowDiscovery, sources: list[EmulatedSource], gap_s: float, closes: bool
+) -> float:
+    """Move from address to address in a series, and return the time of the last move."""
+    addresses = [discovery.add(f"source {number}", source) for number, source in enumerate(sources)]
+    discovery.start(addresses[0])
+    discovery.run_until(20.0)
+    for source in sources:
+        source.revision = 2
+    for number in range(MOVES):
+        discovery.run_until(20.0 + number * gap_s)
+        former = sources[number % len(sources)]
+        discovery.client.set_address(addresses[(number + 1) % len(sources)])
+        if closes:
+            discovery.clock.callLater(OLD_CLOSES_S, former.reset_all)
+    return discovery.clock.seconds()
+
+
+# Guards against configurations in quick succession of which each closes the call that would have been heard.
+@pytest.mark.parametrize("gap_s", [0.1, 0.3, 1.0, 2.0])
+@pytest.mark.parametrize("addresses", [2, MOVES + 1])
+@pytest.mark.parametrize("one_by_one", [False, True])
+def test_the_first_call_of_a_series_of_moves_is_heard(monkeypatch, gap_s, addresses, one_by_one):
+    for delay_s in (0.25, 0.5, 1.2, 2.5, 3.5):
+        discovery = SlowDiscovery(monkeypatch)
+        sources = [
+            EmulatedSource(discovery.clock, lambda n, late=delay_s: late, one_by_one)
+            for _ in range(addresses)
+        ]
+        last_move = move_in_series(discovery, sources, gap_s, closes=False)
+        discovery.run_until(last_move + QUIET_S)
+        assert discovery.known_at(2) <= 20.0 + delay_s + 0.01, delay_s
+        assert discovery.most_open <= MAX_CANDIDATES + 1
+        assert [source.open_calls for source in sources if source.open_calls] == [1]
+        assert sources[MOVES % addresses].open_calls == 1, "the watch at the last address remains"
+
+
+@pytest.mark.parametrize("gap_s", [0.1, 0.3, 1.0, 2.0])
+@pytest.mark.parametrize("delay_s", [0.0, 1.2, 2.5, 3.5])
+def test_a_change_is_known_in_time_after_a_series_of_moves_whose_old_addresses_close(
+    monkeypatch, gap_s, delay_s
+):
+    discovery = SlowDiscovery(monkeypatch)
+    sources = [EmulatedSource(discovery.clock, lambda number: delay_s) for _ in range(MOVES + 1)]
+    last_move = move_in_series(discovery, sources, gap_s, closes=True)
+    discovery.run_until(last_move + QUIET_S)
+    assert discovery.known_at(2) <= last_move + RELOADED_WITHIN_S
+    assert sources[-1].open_calls == 1 and discovery.most_open <= MAX_CANDIDATES + 1
+
+
+def test_the_same_address_again_does_not_close_or_repeat_the_call_that_is_out(monkeypatch):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: 2.5)
+    address = discovery.add("slow", source)
+    discovery.start(address)
+    for number in range(20):
+        discovery.run_until(0.1 * number)
+        discovery.client.set_address(address)
+    discovery.run_until(QUIET_S)
+    assert discovery.known_at(1) <= 2.51 and len(source.calls) == 2
+
+
 # On a real process
 
 SLOW_ANSWER_S = 2.5
@@ -227,3 +295,29 @@
         assert len(platform.agent.targets) == 2, "the first call, and one beside it after a second"
     finally:
         platform.close()
+
+
+# Guards against a series of SIGHUPs with new addresses after which a drain is not known in time.
+def test_a_process_hears_slow_discoveries_through_a_series_of_new_configurations(tmp_path):
+    platform = Platform(tmp_path)
+    platform.configure()
+    platform.start()
+    agents = [DiscoveryAgent() for _ in range(6)]
+    try:
+        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
+        for agent in agents:
+            agent.delay_s = SLOW_ANSWER_S
+            agent.first_object = platform.version(2, s_2="draining")
+        for agent in agents:
+            platform.configure(agent)
+            platform.signal(signal.SIGHUP)
+            time.sleep(0.7)
+        assert (
+            "endpoint_list.updated revision=2" in platform.log.read_text()
+        ), "known from the first new address"
+        agents[-1].first_object = platform.version(3, s_2="draining")
+        platform.wait_for("endpoint_list.updated revision=3")
+    finally:
+        platform.close()
+        for agent in agents:
+            agent.close()
