A call that discovery refuses beside one that hangs is retried after a backoff

Callers saw: with one call hanging and new ones refused, the proxy called without a pause.

Cause: lost() returned before the backoff when another candidate waited, whose time-out had passed, so that the next stream was due at once.

Change: each loss that needs another stream starts or keeps the backoff; the next is due at the later of its end and the newest candidate's interval. open_at is now a lower bound alone, and silent_at tells whether a stream is opened for silence.

Test: test_a_source_that_refuses_calls_beside_one_that_hangs_is_tried_at_a_bounded_rate failed on (over 5,000 events in 60 s of virtual time), and passes now.

--- a/sedgepitch/decisions/discovery/watch_streams.py
+++ b/sedgepitch/decisions/discovery/watch_streams.py
@@ -21,10 +21,10 @@
                     Newer ones are kept, since the source may have begun to serve them, and not replaced: no
                     stream is opened until the active one is silent or lost. Those that are still without a
                     response after CANDIDATE_LIFETIME_MIN_S are closed at a heartbeat of the active stream
-lost                with another candidate open, nothing is opened; otherwise a stream is opened after a
-                    backoff that doubles from BACKOFF_MIN_S to BACKOFF_MAX_S. The backoff is 0 after an active
-                    stream that was open for at least HEARTBEAT_INTERVAL_S. Nothing is opened for a candidate
-                    beside an active stream that needs no replacement
+lost                a stream is opened after a backoff, doubling from BACKOFF_MIN_S to BACKOFF_MAX_S, but not
+                    before the newest candidate's retry interval. The backoff is 0 after an active stream that
+                    was open for at least HEARTBEAT_INTERVAL_S. Nothing is opened for a candidate beside an
+                    active stream that needs no replacement
 source moved        a candidate is opened at the new address at once, unless one waits there already. The
                     active stream and the candidates at former addresses stay until a stream at the new one
                     has sent something; beyond MAX_CANDIDATES the newest of those candidates is closed first.
@@ -77,7 +77,7 @@
     def __init__(self, source: Hashable = None) -> None:
         self.active: Key | None = None
         self.candidates: list[Key] = []  # oldest first
-        self.open_at = -NEVER  # when to open the next one after a loss or a move; NEVER if none is due
+        self.open_at = -NEVER  # no stream is opened before; the end of the backoff after a loss
         self._streams: dict[Key, _Stream] = {}
         self._source = source
         self._searching = True  # no active stream, or one that is to be replaced
@@ -92,17 +92,18 @@
         return now >= self.next_open_at()
 
     def next_open_at(self) -> float:
-        """Return when to open the next stream if no event occurs before; NEVER if none is due."""
-        if self.open_at < NEVER:
-            return self.open_at  # a backoff also applies while the active stream is silent
-        if not self._searching and self.active is not None:
-            silent_at = self._streams[self.active].last_activity + HEARTBEAT_TIMEOUT_S
-            return max(silent_at, self._newest_candidate_due_at())
-        return self._newest_candidate_due_at()
+        """Return when to open the next stream if no event occurs before."""
+        return max(self.open_at, self.silent_at())
+
+    def silent_at(self) -> float:
+        """Return when the stream that should be heard next counts as silent; -NEVER if there is none."""
+        if self._searching or self.active is None:
+            return self._newest_candidate_due_at()
+        active_silent_at = self._streams[self.active].last_activity + HEARTBEAT_TIMEOUT_S
+        return max(active_silent_at, self._newest_candidate_due_at())
 
     def opened(self, key: Key, now: float) -> list[Key]:
         """Record that a candidate is being opened; return the candidates to close in exchange."""
-        self.open_at = NEVER
         self._searching = True
         self._streams[key] = _Stream(self._source, now, now, self._retry_interval_s())
         self.candidates.append(key)
@@ -147,7 +148,7 @@
     def lost(self, key: Key, now: float) -> bool:
         """Record that a stream ended, could not be opened, or sent malformed data.
 
-        Return whether changes can be missed for it, or another stream is opened in its place.
+        Return whether another stream is opened in its place, at once or after those that wait.
         """
         stream = self._streams.pop(key, None)
         if stream is None:
@@ -160,12 +161,13 @@
             self.candidates.remove(key)
             if stream.source != self._source:
                 return False  # as is to be expected of a former address
-        if self._current_candidates() or not self._searching:
-            return was_active  # what is due for the newest candidate or for the active stream applies
+        if not self._searching:
+            return False
         if was_active and now - stream.opened_at >= HEARTBEAT_INTERVAL_S:
             self._backoff_s = 0.0
-        self.open_at = min(self.open_at, now + self._backoff_s)
-        self._backoff_s = min(max(BACKOFF_MIN_S, 2.0 * self._backoff_s), BACKOFF_MAX_S)
+        if self.open_at <= now:  # else the backoff of another loss applies
+            self.open_at = now + self._backoff_s
+            self._backoff_s = min(max(BACKOFF_MIN_S, 2.0 * self._backoff_s), BACKOFF_MAX_S)
         return True
 
     def source_moved(self, source: Hashable) -> None:
@@ -173,7 +175,7 @@
         self._source = source
         self._searching = True
         self._backoff_s = 0.0
-        self.open_at = NEVER if self._current_candidates() else -NEVER
+        self.open_at = -NEVER
 
     def all(self) -> list[Key]:
         """Return all streams in use."""
--- a/sedgepitch/discovery/client.py
+++ b/sedgepitch/discovery/client.py
@@ -123,9 +123,8 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        open_at = self.streams.next_open_at()
-        if open_at < NEVER:
-            self._timer = self.clock.call_later(max(0.0, open_at - self.clock.now()), self._timer_expired)
+        delay_s = max(0.0, self.streams.next_open_at() - self.clock.now())
+        self._timer = self.clock.call_later(delay_s, self._timer_expired)
 
     def _timer_expired(self) -> None:
         """Process received data before checking for silence up to now."""
@@ -137,7 +136,7 @@
             return
         now = self.clock.now()
         if self.streams.should_open(evaluated_at):
-            if self.streams.open_at == NEVER:  # due because the newest stream is silent, not by schedule
+            if self.streams.silent_at() > -NEVER:  # else a start, a loss or a move
                 self.on_lost("discovery is silent")
             revision = 0 if self.needs_complete_list else self.held_revision()
             watch = WatchConnection(self, self.address, revision)
--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -19,6 +19,8 @@
 
 HANGS = float("inf")
 HEARTBEAT_INTERVAL_S = 2.0
+REFUSAL_S = 0.0005  # from a call to its refusal
+MAX_EVENTS = 5_000  # of one run
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 
@@ -176,7 +178,7 @@
         source = self.sources[host, port]
         call = EmulatedCall(source, factory)
         if source.refused:
-            self.clock.callLater(0.0, self._fail, call, ConnectionRefusedError())
+            self.clock.callLater(REFUSAL_S, self._fail, call, ConnectionRefusedError())
         elif source.connect_delay_s > timeout_s:
             self.clock.callLater(timeout_s, self._fail, call, TimeoutError())
         else:
@@ -196,7 +198,10 @@
 
     def run_until(self, end: float) -> None:
         """Run all events up to a time, each at its own time."""
+        events = 0
         while self.clock.calls and self.clock.calls[0].getTime() <= end:
+            events += 1
+            assert events < MAX_EVENTS, "events without a pause"
             self.clock.advance(max(0.0, self.clock.calls[0].getTime() - self.clock.seconds()))
         self.clock.advance(max(0.0, end - self.clock.seconds()))
 
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -12,6 +12,7 @@
 import pytest
 
 from sedgepitch.decisions.discovery.watch_streams import (
+    BACKOFF_MAX_S,
     CANDIDATE_LIFETIME_MIN_S,
     HEARTBEAT_TIMEOUT_S,
     MAX_CANDIDATES,
@@ -178,6 +179,18 @@
     assert len(source.calls) == 2 and source.open_calls == 1
 
 
+# Guards against calls without a pause while discovery refuses new connections and one call hangs.
+def test_a_source_that_refuses_calls_beside_one_that_hangs_is_tried_at_a_bounded_rate(monkeypatch):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: HANGS)
+    discovery.start(discovery.add("slow", source))
+    discovery.run_until(0.5)
+    source.refused = True
+    discovery.run_until(QUIET_S)
+    assert QUIET_S / RETRY_INTERVAL_MAX_S <= len(source.calls) <= 10 + QUIET_S / BACKOFF_MAX_S
+    assert "Connection was refused by other side" in "".join(discovery.lost)
+
+
 # Configurations that follow each other faster than discovery answers
 
 MOVES = 12
