A watch whose bytes are arriving is not given up

Callers saw: with one call to discovery hanging, lists that take longer than a watch is kept were never complete; drains stayed unknown.

Cause: beyond the permitted number the second oldest was closed, whether or not its bytes arrived.

The property test of the decisions draws bytes too.

--- a/sedgepitch/decisions/discovery/watch_streams.py
+++ b/sedgepitch/decisions/discovery/watch_streams.py
@@ -16,7 +16,7 @@
                     hangs is tried at a bounded rate, and one that serves call after call keeps up. Beyond
                     MAX_CANDIDATES the second oldest is closed, at an age of CANDIDATE_LIFETIME_MIN_S or more.
                     The oldest waits for as long as it takes: it is the first to be served by a source that
-                    also serves what was given up
+                    also serves what was given up. So does the oldest of those whose bytes are arriving
 heartbeat           the candidate becomes active; the previous active stream and older candidates are closed.
                     Newer ones are kept, since the source may have begun to serve them, and not replaced: no
                     stream is opened until the active one is silent or lost. Those that are still without a
@@ -62,6 +62,7 @@
     opened_at: float
     last_activity: float  # `opened_at` until something has arrived
     silence_limit_s: float  # after `last_activity`, until another candidate is opened
+    bytes_at: float = -NEVER  # when bytes of any kind arrived last
 
 
 class WatchStreams(Generic[Key]):
@@ -109,7 +110,13 @@
         self.candidates.append(key)
         if len(self.candidates) <= MAX_CANDIDATES:
             return []
-        return self._remove([self._least_useful_candidate()])
+        return self._remove([self._least_useful_candidate(now)])
+
+    def bytes_received(self, key: Key, now: float) -> None:
+        """Record that bytes arrived, of the head or of the body of a response."""
+        stream = self._streams.get(key)
+        if stream is not None:
+            stream.bytes_at = now
 
     def response_started(self, key: Key, now: float) -> None:
         """Record that the source accepted the watch; its first heartbeat may take a whole interval."""
@@ -204,20 +211,28 @@
             return [key for key in older if self._is_former(key)]
         return [key for key in self.candidates if key in older or self._is_former(key)]
 
-    def _least_useful_candidate(self) -> Key:
+    def _least_useful_candidate(self, now: float) -> Key:
         """Return the newest candidate at a former address, or else the second oldest one.
 
-        The oldest are the first that can be answered, however fast addresses change.
+        The oldest are the first that can be answered, however fast addresses change. The oldest one whose
+        bytes are arriving is kept in any case.
         """
-        former = [key for key in self.candidates if self._is_former(key)]
-        return former[-1] if former else self.candidates[1]
+        receiving = next((key for key in self.candidates if self._is_receiving(key, now)), None)
+        closable = [key for key in self.candidates if key != receiving]
+        former = [key for key in closable if self._is_former(key)]
+        return former[-1] if former else closable[1]
+
+    def _is_receiving(self, key: Key, now: float) -> bool:
+        """Return whether bytes of a stream arrived lately."""
+        return now - self._streams[key].bytes_at < HEARTBEAT_TIMEOUT_S
 
     def _unanswered_candidates(self, now: float) -> list[Key]:
-        """Return the candidates that have waited for longer than any response is expected to take."""
+        """Return the candidates that wait for longer than any response is expected to take."""
         return [
             key
             for key in self.candidates
             if now - self._streams[key].last_activity >= CANDIDATE_LIFETIME_MIN_S
+            and not self._is_receiving(key, now)
         ]
 
     def _retry_interval_s(self) -> float:
--- a/sedgepitch/discovery/client.py
+++ b/sedgepitch/discovery/client.py
@@ -70,6 +70,10 @@
 
     # Reports of the watch connections (WatchObserver)
 
+    def bytes_received(self, watch: WatchConnection) -> None:
+        """Record that bytes of a response arrived."""
+        self.streams.bytes_received(watch, self.clock.now())
+
     def response_started(self, watch: WatchConnection) -> None:
         """Record that discovery accepted a watch."""
         self.streams.response_started(watch, self.clock.now())
--- a/sedgepitch/discovery/watch_connection.py
+++ b/sedgepitch/discovery/watch_connection.py
@@ -29,6 +29,9 @@
 class WatchObserver(Protocol):
     """Receives the reports of a watch connection, until the connection is closed."""
 
+    def bytes_received(self, watch: WatchConnection) -> None:
+        """Handle the arrival of bytes, before what they contain is reported."""
+
     def response_started(self, watch: WatchConnection) -> None:
         """Handle the acceptance of the watch by discovery."""
 
@@ -88,6 +91,7 @@
         """Parse bytes of the response and report the resulting events."""
         if self.closed:
             return
+        self.observer.bytes_received(self)
         try:
             for event in self.exchange.receive(data):
                 self._report(event)
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -191,7 +191,24 @@
     assert "Connection was refused by other side" in "".join(discovery.lost)
 
 
-# Connections that come up late
+# Lists that come byte by byte, and connections that come up late
+
+TRICKLE_S = 0.2  # for each byte; a list takes some 25 s
+
+
+# Guards against a list that is given up while its bytes arrive, because a call before it hangs.
+@pytest.mark.parametrize("hanging", [0, 1, 2])
+@pytest.mark.parametrize("path", PATHS)
+def test_a_list_that_comes_byte_by_byte_is_heard(monkeypatch, path, hanging):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock)
+    asked_at = play_until_asked(discovery, path, source)
+    first = len(source.calls) - 1 if path in ("start", "move") else len(source.calls)
+    source.byte_interval_s = TRICKLE_S
+    source.delay_s = lambda number: HANGS if number < first + hanging else 0.0
+    discovery.run_until(asked_at + QUIET_S)
+    assert discovery.known_at(1 if path == "start" else 2) <= asked_at + 40.0
+    assert discovery.most_open <= MAX_CANDIDATES + 1
 
 
 # Guards against a crowded discovery whose connections come up after 1 s and were given up each time.
--- a/tests/test_watch_streams.py
+++ b/tests/test_watch_streams.py
@@ -166,7 +166,9 @@
 
 STEPS = st.lists(
     st.tuples(
-        st.sampled_from(["response", "heartbeat", "partial", "lost", "moved", "wait", "wait", "wait"]),
+        st.sampled_from(
+            ["response", "bytes", "heartbeat", "partial", "lost", "moved", "wait", "wait", "wait"]
+        ),
         st.integers(0, 3),
         st.floats(0.0, 2.5),
     ),
@@ -186,6 +188,8 @@
         before, active = set(keys), streams.active
         if step == "response":
             streams.response_started(key, now)
+        elif step == "bytes":
+            streams.bytes_received(key, now)
         elif step == "heartbeat":
             closed = streams.heartbeat(key, now)
             at_former_address = closed == [key] and streams.active == active is not None
