Beside the present address, a former one can only add newer revisions

Cause: since a call at a former address stays out and its answer is applied; a complete list applies whatever its revision, so an older list could replace that of the present address.

Change: while a stream at the present address is active, an object from a former one is applied only if its revision is newer than the one held.

--- a/sedgepitch/discovery/client.py
+++ b/sedgepitch/discovery/client.py
@@ -88,6 +88,9 @@
             raise MalformedListError("discovery: not JSON") from None
         version = read_version(raw, self.unix_offset)
         self.heartbeat(watch)
+        from_former_address = not self.streams.in_use(watch)  # beside a stream at the present one
+        if from_former_address and version.revision <= self.held_revision():
+            return
         if version.complete:
             self.needs_complete_list = False
         self.on_version(version)
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -283,6 +283,22 @@
     assert sources[-1].open_calls == 1 and discovery.most_open <= MAX_CANDIDATES + 1
 
 
+# Guards against an older list from a former address that is applied over the list of the present one.
+def test_a_list_from_a_former_address_is_not_applied_beside_the_present_one(monkeypatch):
+    discovery = SlowDiscovery(monkeypatch)
+    present, former = EmulatedSource(discovery.clock), EmulatedSource(discovery.clock, lambda number: 2.5)
+    present.revision = 2
+    address, other = discovery.add("present", present), discovery.add("former", former)
+    discovery.start(address)
+    discovery.run_until(5.0)
+    present.delay_s = lambda number: 3.5
+    discovery.client.set_address(other)
+    discovery.client.set_address(address)
+    discovery.run_until(QUIET_S)
+    assert {revision for _, revision in discovery.heard} == {2}
+    assert present.open_calls == 1 and former.open_calls == 0
+
+
 def test_the_same_address_again_does_not_close_or_repeat_the_call_that_is_out(monkeypatch):
     discovery = SlowDiscovery(monkeypatch)
     source = EmulatedSource(discovery.clock, lambda number: 2.5)
