The case of watches that end closes them once they have received their part

Cause: the case closed its watches 0.6 s after it was made, whatever had happened by then; a process that gets no time for so long has seen none of them open.

Change: they are closed once all five were seen and have received part of an object, as in the other cases. The check is as it was, and stricter in that a part must have arrived.

--- a/tests/support/closed_connections_case.py
+++ b/tests/support/closed_connections_case.py
@@ -214,13 +214,17 @@
     """Watches of discovery whose object never ends; they are closed."""
     from sedgepitch.discovery.watch_connection import WatchConnection
 
+    received: set[int] = set()  # ids of the watches that have received part of an object
+
     class Observer:
         def bytes_received(self, watch: object) -> None: ...
 
         def response_started(self, watch: object) -> None: ...
         def object_received(self, watch: object, data: bytes) -> None: ...
         def heartbeat(self, watch: object) -> None: ...
-        def partial_object(self, watch: object, begun: bool) -> None: ...
+        def partial_object(self, watch: object, begun: bool) -> None:
+            received.add(id(watch))
+
         def malformed(self) -> None: ...
         def lost(self, watch: object, reason: str) -> None: ...
 
@@ -231,10 +235,10 @@
     case.tracked = WatchConnection
 
     def end() -> None:
-        while opened:
+        while len(received) == CONNECTIONS and opened:
             opened.pop().close()
 
-    case.reactor.callLater(2 * CONNECT_TIMEOUT_S, end)
+    case.end_connections = end
 
 
 def postgresql_clients(case: Case) -> None:
