The test of answers that never end does not depend on the machine's speed

Trace: the scene wants 100 spoilt answers. A quick proxy gets them in its first burst. On a busy machine the first burst is smaller (45 to 66), the proxy then takes all four endpoints for failed, as it should, and sends each a single trial about every four seconds: 66 answers after 1 s, 87 after 40 s beside 16 busy processes. Memory was 28 of 48 MB. So the proxy was right, and the scene asked for what it refuses.

Change: an endpoint that is called after a pause answers for 0.3 s, gets all requests again and goes on spoiling, so the answers come in bursts and not in single trials. Answers, clients, bounds and time limit are as before. The clients begin together, and the memory is read once more after the last answer: before, where starting them took longer than the answers, it was never read (3 of 6 trials beside load: 0.0 MB).

--- a/tests/test_spoilt_answers.py
+++ b/tests/test_spoilt_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 import threading
 import time
@@ -35,6 +36,8 @@
 ROW_PART = codec.row_description() + codec.data_row(bytes(SPOILT_ROW_BYTES))[:-10_000]
 DEADLINE_S = 0.4
 TIMEOUT_S = 60.0
+TRIAL_PAUSE_S = 0.1  # between two requests; shorter than between two trials
+RECOVERY_S = 0.3
 MEBIBYTE = 1024 * 1024
 BUDGET_BYTES = 4 * MEBIBYTE
 
@@ -134,16 +137,26 @@
 
 
 class SpoilingEndpoint(EmulatedEndpoint):
-    """An endpoint that announces a long row in one of `every` answers and never ends it."""
+    """An endpoint that announces a long row in one of `every` answers and never ends it.
+
+    The proxy soon sends it single trials only. It answers these, and what follows for RECOVERY_S, so that it
+    gets all requests again, and then goes on spoiling.
+    """
 
     def __init__(self, name: str, role: str, every: int) -> None:
         super().__init__(name, role)
         self.every = every
         self.spoilt = 0
+        self.called_at = math.inf
+        self.recovered_at = -math.inf
         self.script = self.spoil_some
 
     def spoil_some(self, _statement: str) -> bytes | None:
-        if len(self.statements) % self.every:
+        now = time.monotonic()
+        if now - self.called_at > TRIAL_PAUSE_S:
+            self.recovered_at = now
+        self.called_at = now
+        if now - self.recovered_at < RECOVERY_S or len(self.statements) % self.every:
             return None
         self.spoilt += 1
         return ROW_PART
@@ -158,11 +171,13 @@
     """Return the most memory that the process has until it is over the limit or the condition holds."""
     most = 0.0
     end = time.monotonic() + TIMEOUT_S
-    while not finished() and most <= limit_mb:
-        assert time.monotonic() < end, "too few answers were spoilt"
+    while True:
+        enough = finished()
         most = max(most, anonymous_memory_mb(platform.process.pid))
+        if enough or most > limit_mb:
+            return most
+        assert time.monotonic() < end, "too few answers were spoilt"
         time.sleep(0.005)
-    return most
 
 
 @pytest.mark.parametrize(
@@ -189,6 +204,7 @@
     ]
     platform.configure(settings={**SETTINGS, "classes": classes})
     platform.start()
+    connected = threading.Barrier(clients + 1)
     stopped = threading.Event()
 
     def spoilt() -> int:
@@ -196,6 +212,7 @@
 
     def ask(first: int) -> None:
         client = platform.client()
+        connected.wait(TIMEOUT_S)
         number = first
         while not stopped.is_set():
             number += clients
@@ -206,6 +223,7 @@
     try:
         for asker in askers:
             asker.start()
+        connected.wait(TIMEOUT_S)
         most = most_memory_mb(platform, memory_mb, lambda: spoilt() >= answers)
         assert most <= memory_mb, f"{most:.1f} MB after {spoilt()} spoilt answers"
     finally:
