A watch that is heard again after a silence is not replaced for good

Discovery saw a call from each proxy every 2.5 s, and seven connections instead of one, where it goes on with the watches that it holds after a silence of over 3 s but answers no new calls. The proxy itself missed nothing.

Cause: a search for a replacement begins with the silence and ended with a candidate's heartbeat only, not with one of the watch that was being replaced.

Change: a heartbeat of the active stream ends the search, unless it is at a former address.

Tests: test_a_watch_that_is_heard_again_after_a_silence_is_not_replaced failed in 3 of 3 cases before.

--- a/sedgepitch/decisions/discovery/watch_streams.py
+++ b/sedgepitch/decisions/discovery/watch_streams.py
@@ -9,7 +9,7 @@
 event               decision
 ==================  ==========================================================================================
 silence             the active stream sent nothing for HEARTBEAT_TIMEOUT_S: open a candidate beside it, from
-                    the present revision
+                    the present revision. If it is heard again first, no further one is opened
 no response         the newest candidate got no response within its retry interval, or has been silent for
                     HEARTBEAT_TIMEOUT_S since: open another beside it. The interval doubles with each waiting
                     candidate, from RETRY_INTERVAL_MIN_S to RETRY_INTERVAL_MAX_S: a source that is down or
@@ -131,14 +131,14 @@
         if stream is None:
             return []
         stream.last_activity = now
-        if key is self.active:
-            return [] if self._searching else self._remove(self._unanswered_candidates(now))
         if self._is_former(key) and self.active is not None and not self._is_former(self.active):
             return self._remove([key])
+        self._searching = self._is_former(key)
+        if key is self.active:
+            return [] if self._searching else self._remove(self._unanswered_candidates(now))
         replaced = self._candidates_superseded_by(key)
         if self.active is not None:
             replaced.append(self.active)
-        self._searching = self._is_former(key)
         self.active = key
         self.candidates.remove(key)
         return self._remove(replaced)
--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -80,12 +80,13 @@
         """Send the complete list, then heartbeats."""
         if self.open:
             self.send(HEAD + chunk(self.source.list_bytes()))
-            self.source.clock.callLater(HEARTBEAT_INTERVAL_S, self._heartbeat)
+            self.source.clock.callLater(HEARTBEAT_INTERVAL_S, self.heartbeat)
 
-    def _heartbeat(self) -> None:
+    def heartbeat(self) -> None:
+        """Send an empty line now and regularly from then on, until the call is closed or falls silent."""
         if self.open and not self.silent:
             self.send(chunk(b"\n"))
-            self.source.clock.callLater(HEARTBEAT_INTERVAL_S, self._heartbeat)
+            self.source.clock.callLater(HEARTBEAT_INTERVAL_S, self.heartbeat)
 
 
 class EmulatedSource:
@@ -134,6 +135,13 @@
         for call in self.calls:
             call.silent = True
 
+    def resume_all(self) -> None:
+        """Let the watches that fell silent send heartbeats again, at once and then regularly."""
+        for call in self.calls:
+            if call.silent:
+                call.silent = False
+                self.clock.callLater(0.0, call.heartbeat)
+
     @property
     def open_calls(self) -> int:
         """Return how many connections the client holds open."""
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -181,6 +181,22 @@
     assert len(source.calls) == 2 and source.open_calls == 1
 
 
+# Guards against a watch that is replaced for good, though it is heard again, where new calls hang.
+@pytest.mark.parametrize("silent_s", [HEARTBEAT_TIMEOUT_S + 0.5, 6.0, 30.0])
+def test_a_watch_that_is_heard_again_after_a_silence_is_not_replaced(monkeypatch, silent_s):
+    discovery = SlowDiscovery(monkeypatch)
+    source = EmulatedSource(discovery.clock, lambda number: HANGS if number else 0.0)
+    discovery.start(discovery.add("slow", source))
+    discovery.run_until(QUIET_S)
+    source.silence_all()
+    discovery.run_until(QUIET_S + silent_s)
+    calls = len(source.calls)
+    assert calls > 1, "called while it was silent"
+    source.resume_all()
+    discovery.run_until(2.0 * QUIET_S + silent_s)
+    assert len(source.calls) == calls and source.open_calls == 1
+
+
 # Guards against calls without a pause while discovery refuses new connections and one call hangs.
 def test_a_source_that_refuses_calls_beside_one_that_hangs_is_tried_at_a_bounded_rate(monkeypatch):
     discovery = SlowDiscovery(monkeypatch)
