A soak's proxy and its servers are never given the same port

What was seen: beside no load, one of two runs of tests/test_misbehaving_clients.py had "process 1 never listened" (slow_uploads-32): "Address already in use" for 10 s. Its configuration names port 31916 twice, for the proxy and for a server: free_port tried a port and gave it back, so it could be drawn again before it was listened on. With 12,000 ports and four servers that is one run in 3,000, and a whole test run has some forty.

Change: PortReservations holds each port with a bound socket until the run ends; a listener with SO_REUSEADDR can use it, and no other run is given it. It stands in a module of its own.

--- a/sedgepitch/scenarios/soak/emulated_platform.py
+++ b/sedgepitch/scenarios/soak/emulated_platform.py
@@ -10,7 +10,7 @@
 
 from sedgepitch.emulator.discovery_agent import AgentMode, DiscoveryAgent, ListVersion
 from sedgepitch.emulator.postgresql_server import GROUP, PROXY, PostgresServer, ReplicatedLog
-from sedgepitch.scenarios.soak.proxy_processes import free_port
+from sedgepitch.scenarios.soak.port_reservations import PortReservations
 from sedgepitch.scenarios.soak.script import SERVERS, Action, Step
 
 LIST_BURST_VERSIONS = 20
@@ -28,7 +28,7 @@
 class EmulatedPlatform:
     """The servers and discovery agents of one run."""
 
-    def __init__(self, record: Record, rng: random.Random) -> None:
+    def __init__(self, record: Record, rng: random.Random, ports: PortReservations) -> None:
         """Create servers and agents; `start` makes them listen."""
         log = ReplicatedLog()
         self.servers = [PostgresServer(n, log, record, rng) for n in range(1, SERVERS + 1)]
@@ -39,12 +39,13 @@
         # Audit records: the state of an endpoint, and when the proxy counts as notified of it.
         self.notified: list[dict[str, Any]] = []
         self._record = record
+        self._ports = ports
         self._delayed_until = 0.0
 
     async def start(self) -> None:
         """Start servers and agents, and record the first primary."""
         for server in self.servers:
-            server.port = free_port()  # it keeps its port over a crash
+            server.port = self._ports.reserve()  # it keeps its port over a crash
             await server.start()
         for agent in self.agents:
             await agent.start()
--- a/sedgepitch/scenarios/soak/proxy_processes.py
+++ b/sedgepitch/scenarios/soak/proxy_processes.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import os
-import random
 import re
 import signal
-import socket
 import subprocess
 import time
 from collections.abc import Callable
@@ -25,7 +22,6 @@
 KILL_MARGIN_S = 0.7  # past the longest deadline: the platform's earliest SIGKILL after SIGTERM
 MAX_DEADLINE_S = 3.0  # a longer deadline does not extend the grace period
 LEVEL_AFTER_S = 2.5  # after ready, when memory and descriptors are measured
-PORTS = (20_000, 32_000)  # below the range from which the system chooses (ip_local_port_range)
 MEMORY_INTERVAL_S = 0.02  # between measurements of the memory of all processes
 BYTES_PER_KB, BYTES_PER_MB = 1024, 1_000_000
 FILE_REPAIRED_AFTER_S = 0.08  # until a half-written or missing file is complete again
@@ -33,15 +29,6 @@
 _LAG = re.compile(r"max_lag_ms=([0-9.]+)")
 
 
-def free_port() -> int:
-    """Return a free port that the system gives to no other socket by itself, as it might between two uses."""
-    while True:
-        port = random.SystemRandom().randrange(*PORTS)
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            return port
-
-
 @dataclass(slots=True)
 class ResourceLevel:
     """Resource usage of one process, LEVEL_AFTER_S after it was ready."""
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -18,7 +18,8 @@
 from sedgepitch.scenarios.soak.crowd import CONNECT_SPREAD_S, Crowd
 from sedgepitch.scenarios.soak.emulated_platform import EmulatedPlatform
 from sedgepitch.scenarios.soak.misbehaving_clients import CrowdKind
-from sedgepitch.scenarios.soak.proxy_processes import ProxyProcess, ProxyProcesses, free_port
+from sedgepitch.scenarios.soak.port_reservations import PortReservations
+from sedgepitch.scenarios.soak.proxy_processes import ProxyProcess, ProxyProcesses
 from sedgepitch.scenarios.soak.script import Action, SoakScript, Step
 from sedgepitch.scenarios.soak.traffic import platform_settings
 from sedgepitch.scenarios.soak.verdict import SoakResult, Verdict
@@ -42,8 +43,9 @@
         self._script = script
         self._directory = directory
         self._records: list[Record] = []
-        self._platform = EmulatedPlatform(self._record, rng)
-        self._port = free_port()
+        self._ports = PortReservations()
+        self._platform = EmulatedPlatform(self._record, rng, self._ports)
+        self._port = self._ports.reserve()
         self._processes = ProxyProcesses(
             directory, command or PROGRAM, {}, self._configuration, script.longest_deadline
         )
@@ -91,6 +93,7 @@
         finally:
             self._processes.kill_all()
             self._platform.stop()
+            self._ports.close()
             for process in busy:
                 process.kill()
                 process.wait()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import subprocess
 import sys
 from concurrent.futures import ProcessPoolExecutor
@@ -14,6 +16,8 @@
 import pytest
 
 from sedgepitch.scenarios.errors import ScenarioError
+from sedgepitch.scenarios.soak import port_reservations
+from sedgepitch.scenarios.soak.port_reservations import PortReservations
 from sedgepitch.scenarios.soak.runner import SoakRun
 from sedgepitch.scenarios.soak.script import Action, FileState, Reload, SoakScript, Step, draw_script
 from tests.support.faulty_nodes import FAULTS
@@ -137,3 +141,16 @@
 def test_a_process_that_cannot_be_started_is_named_with_the_reason(tmp_path):
     with pytest.raises(ScenarioError, match="proxy process 1: no-such-program"):
         SoakRun(draw_script(1, SHORT_S), tmp_path, ["no-such-program"]).run()
+
+
+# Guards against a proxy that is given the port of one of its servers, and then never listens.
+def test_a_reserved_port_is_given_once_and_can_be_listened_on(monkeypatch):
+    first = PortReservations()
+    port = first.reserve()
+    with contextlib.closing(first), contextlib.closing(PortReservations()) as second:
+        monkeypatch.setattr(port_reservations, "PORTS", (port - 3, port + 4))
+        other_ports = [second.reserve() for _ in range(2)]
+        assert port not in other_ports and len(set(other_ports)) == 2
+        for taken in (port, *other_ports):
+            with socket.create_server(("127.0.0.1", taken)), pytest.raises(OSError, match="in use"):
+                socket.create_server(("127.0.0.1", taken))
