Tests of discovery on a real process use the platform fixture

Five tests built, started and closed the same platform by hand. They take the fixture of conftest.py now; no check is changed. tests/test_bounds.py and tests/test_slow_discovery.py: 141 passed.

--- a/tests/test_bounds.py
+++ b/tests/test_bounds.py
@@ -8,7 +8,7 @@
 from sedgepitch.decisions.discovery import watch_streams
 from sedgepitch.routing import messages as api
 from sedgepitch.routing.messages import AttemptResult, EndpointState
-from tests.support.platform import TIMEOUT_S, EmulatedEndpoint, Platform, read_statement
+from tests.support.platform import TIMEOUT_S, EmulatedEndpoint, read_statement
 from tests.support.postgresql_harness import PostgresqlProxy, read, write
 from tests.support.router_harness import Rig, entry, sends
 
@@ -96,32 +96,20 @@
     assert sizes[1] <= sizes[0] * 1.1 + 50, sizes
 
 
-def test_a_silent_watch_is_replaced_and_the_endpoint_list_stays_in_use(tmp_path):
-    platform = Platform(tmp_path)
-    platform.configure()
-    platform.start()
-    try:
-        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
-        client = platform.client()
-        platform.wait_for(
-            "discovery.lost reason=discovery is silent"
-        )  # the heartbeat, an empty line every 2 s, is missing
-        assert client.query(read_statement(1)) == ("value", b"value of 1")
-        end = time.monotonic() + TIMEOUT_S
-        while len(platform.agent.targets) < 2 and time.monotonic() < end:
-            time.sleep(0.02)
-        assert platform.agent.targets[1].endswith("index=1")
-    finally:
-        platform.close()
+def test_a_silent_watch_is_replaced_and_the_endpoint_list_stays_in_use(platform):
+    client = platform.client()
+    # The heartbeat, an empty line every 2 s, is missing.
+    platform.wait_for("discovery.lost reason=discovery is silent")
+    assert client.query(read_statement(1)) == ("value", b"value of 1")
+    end = time.monotonic() + TIMEOUT_S
+    while len(platform.agent.targets) < 2 and time.monotonic() < end:
+        time.sleep(0.02)
+    assert platform.agent.targets[1].endswith("index=1")
 
 
-def test_an_endpoint_with_the_same_id_and_a_new_address_is_used_at_that_address(tmp_path):
-    platform = Platform(tmp_path)
-    platform.configure()
-    platform.start()
+def test_an_endpoint_with_the_same_id_and_a_new_address_is_used_at_that_address(platform):
     old = platform.endpoints[1]
     try:
-        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
         client = platform.client()
         for number in range(1, 12):
             assert client.query(read_statement(number))[0] == "value"
@@ -134,34 +122,26 @@
             assert client.query(read_statement(number))[0] == "value"
         assert moved.statements and len(old.statements) == before
     finally:
-        platform.close()
         old.close()
 
 
-def test_a_watch_that_ends_within_an_object_ignores_it_and_resumes_from_the_last_revision(tmp_path):
-    platform = Platform(tmp_path)
-    platform.configure()
-    platform.start()
-    try:
-        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
-        update = platform.version(2, complete=False, s_2="draining")
-        platform.agent.first_object = platform.version(3, complete=False, s_2="draining")
-        platform.agent.send(update[: len(update) // 2])
-        watch = platform.agent.watches[0]
-        time.sleep(0.2)
-        platform.agent.server.shutdown_request(watch)
-        platform.wait_for("endpoint_list.updated revision=3")
-        assert "revision=2" not in platform.log.read_text()
-        assert platform.agent.targets[1].endswith("index=1")
-        client = platform.client()
-        before = len(platform.endpoints[1].statements)
-        for number in range(1, 20):
-            assert client.query(read_statement(number))[0] == "value"
-        assert len(platform.endpoints[1].statements) == before
-        platform.signal(signal.SIGTERM)
-        assert platform.process.wait(timeout=TIMEOUT_S) == 0
-    finally:
-        platform.close()
+def test_a_watch_that_ends_within_an_object_ignores_it_and_resumes_from_the_last_revision(platform):
+    update = platform.version(2, complete=False, s_2="draining")
+    platform.agent.first_object = platform.version(3, complete=False, s_2="draining")
+    platform.agent.send(update[: len(update) // 2])
+    watch = platform.agent.watches[0]
+    time.sleep(0.2)
+    platform.agent.server.shutdown_request(watch)
+    platform.wait_for("endpoint_list.updated revision=3")
+    assert "revision=2" not in platform.log.read_text()
+    assert platform.agent.targets[1].endswith("index=1")
+    client = platform.client()
+    before = len(platform.endpoints[1].statements)
+    for number in range(1, 20):
+        assert client.query(read_statement(number))[0] == "value"
+    assert len(platform.endpoints[1].statements) == before
+    platform.signal(signal.SIGTERM)
+    assert platform.process.wait(timeout=TIMEOUT_S) == 0
 
 
 def test_two_more_streams_are_tried_before_a_change_counts_as_notified():
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -381,13 +381,9 @@
 
 
 # Guards against a series of SIGHUPs with new addresses after which a drain is not known in time.
-def test_a_process_hears_slow_discoveries_through_a_series_of_new_configurations(tmp_path):
-    platform = Platform(tmp_path)
-    platform.configure()
-    platform.start()
+def test_a_process_hears_slow_discoveries_through_a_series_of_new_configurations(platform):
     agents = [DiscoveryAgent() for _ in range(6)]
     try:
-        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
         for agent in agents:
             agent.delay_s = SLOW_ANSWER_S
             agent.first_object = platform.version(2, s_2="draining")
@@ -401,25 +397,17 @@
         agents[-1].first_object = platform.version(3, s_2="draining")
         platform.wait_for("endpoint_list.updated revision=3")
     finally:
-        platform.close()
         for agent in agents:
             agent.close()
 
 
 # Guards against watch streams to a hanging discovery for which no descriptors are reserved.
-def test_the_reserved_descriptors_of_a_process_cover_the_streams_to_a_hanging_discovery(tmp_path):
-    platform = Platform(tmp_path)
-    platform.configure()
-    platform.start()
-    try:
-        platform.wait_for("endpoint_list.updated revision=1 complete=True cached=False")
-        platform.agent.delay_s = 10.0 * QUIET_S  # and the active stream falls silent
-        end = time.monotonic() + TIMEOUT_S
-        while len(platform.agent.targets) < 1 + MAX_CANDIDATES and time.monotonic() < end:
-            time.sleep(0.1)
-        assert len(platform.agent.targets) == 1 + MAX_CANDIDATES
-        being_accepted = 1
-        descriptors = len(list(Path(f"/proc/{platform.process.pid}/fd").iterdir()))
-        assert descriptors + being_accepted <= RESERVED_DESCRIPTORS
-    finally:
-        platform.close()
+def test_the_reserved_descriptors_of_a_process_cover_the_streams_to_a_hanging_discovery(platform):
+    platform.agent.delay_s = 10.0 * QUIET_S  # and the active stream falls silent
+    end = time.monotonic() + TIMEOUT_S
+    while len(platform.agent.targets) < 1 + MAX_CANDIDATES and time.monotonic() < end:
+        time.sleep(0.1)
+    assert len(platform.agent.targets) == 1 + MAX_CANDIDATES
+    being_accepted = 1
+    descriptors = len(list(Path(f"/proc/{platform.process.pid}/fd").iterdir()))
+    assert descriptors + being_accepted <= RESERVED_DESCRIPTORS
