--- a/sedgepitch/decisions/connections/descriptor_budget.py
+++ b/sedgepitch/decisions/connections/descriptor_budget.py
@@ -9,9 +9,8 @@
 
 from __future__ import annotations
 
-RESERVED_DESCRIPTORS = (
-    24  # standard streams, event loop, listener, seven discovery streams, one being accepted
-)
+# Standard streams, event loop, listener, seven discovery streams, and one connection being accepted.
+RESERVED_DESCRIPTORS = 24
 CLIENT_SHARE = 0.5  # of the descriptors that are not reserved
 MIN_PER_SIDE = 8  # granted to clients and to endpoints, however small the limit
 UNLIMITED = 1 << 30
--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -192,7 +192,7 @@
         else:
             self.clock.callLater(source.connect_delay_s, self._connected, call)
         source.calls.append(call)
-        self.most_open = max(self.most_open, sum(s.open_calls for s in self.sources.values()))
+        self.most_open = max(self.most_open, sum(each.open_calls for each in self.sources.values()))
         return call
 
     def _fail(self, call: EmulatedCall, reason: Exception) -> None:
