A drain or removal is not revoked by a list or change older than it

What callers saw: reads at an endpoint that drains or was removed, after a SIGHUP or a reset led to a discovery that lags behind.

Cause: the drain was held against the revision of the present list, which an older list sets back, so that the same older list a second time revoked it; an older change revoked it too; a removal was forgotten with the last connection; absence from a newer complete list was no departure; the cached list's drains had no revision.

Change: the revision of each departure is kept by name, and only a newer revision or a restart of the endpoint revokes it. Departures of 10,000 endpoints that are no longer in use are remembered.

test_an_older_complete_list_does_not_revoke_a_drain stated that a change of revision 6 revokes a drain of revision 7. That is the fault; it now states that it does not, and that a change of revision 8 does.

--- a/sedgepitch/decisions/discovery/list_versions.py
+++ b/sedgepitch/decisions/discovery/list_versions.py
@@ -5,9 +5,11 @@
 * A change applies if its revision is newer than the present one; otherwise it has been applied before.
 * A complete list always applies, even with an older revision: the source may have lost its state, or another
   source that lags behind may have replaced it.
-* An endpoint that a newer revision reported as draining or removed stays draining while an older complete
-  list reports it as up, until it has restarted or a change names it. The older list does not contain the
-  drain. Sending a request to a draining endpoint breaks a rule; not sending one only costs capacity.
+* An endpoint that was reported as draining or removed, or is missing from a complete list, has departed. It
+  is up again if it has restarted, or by a report of a newer revision than that of its departure. Other
+  reports that it is up may precede the departure, and apply as draining: sending a request to a draining
+  endpoint breaks a rule; not sending one only costs capacity.
+* Departures are remembered after the endpoint is no longer in use, MAX_FORGOTTEN_DEPARTURES at most.
 * Sources name endpoints by strings, the router by integers. The integer is derived from the name alone, so
   it is the same in each proxy instance and after each restart. It is kept while the name is listed or in use.
 """
@@ -21,6 +23,7 @@
 
 Address = tuple[str, int]
 MAX_ENDPOINT_ID = 0xFFFFFFFF
+MAX_FORGOTTEN_DEPARTURES = 10_000
 
 
 @dataclass(slots=True, frozen=True)
@@ -49,37 +52,49 @@
     entries: tuple[DiscoveredEndpoint, ...]
 
 
+@dataclass(slots=True, frozen=True)
+class Departure:
+    """The newest drain or removal of an endpoint: its revision, and the `started_at` that was known then."""
+
+    revision: int
+    started_at: float
+
+    def precedes(self, revision: int, endpoint: DiscoveredEndpoint) -> bool:
+        """Return whether a report of a revision that the endpoint is up was made after the departure."""
+        return revision > self.revision or endpoint.started_at > self.started_at
+
+
 class EndpointListVersions:
     """The endpoint list of this proxy instance and the integer ids of its endpoints. Performs no I/O."""
 
-    __slots__ = ("addresses", "departing", "ids", "names", "present", "revision")
+    __slots__ = ("addresses", "departures", "forgotten_departures", "ids", "names", "present", "revision")
 
     def __init__(self) -> None:
         self.revision = 0
         self.ids: dict[str, int] = {}
         self.names: dict[int, str] = {}
         self.addresses: dict[int, Address] = {}
-        self.present: set[int] = set()  # ids of endpoints that are listed and not removed
-        self.departing: dict[str, float] = {}  # name -> `started_at` in the report of its drain or removal
+        self.present: dict[int, float] = {}  # `started_at` by id of the endpoints listed and not removed
+        self.departures: dict[str, Departure] = {}  # by name, of endpoints with an id
+        self.forgotten_departures: dict[str, Departure] = {}  # by name, of other endpoints, oldest first
 
     def apply(self, version: ListVersion, cached: bool = False) -> EndpointListUpdate | None:
         """Apply a version; return the update for the router, or None if it is not newer.
 
         A cached list may be out of date, so its endpoints apply but its revision does not.
         """
-        older = not cached and version.revision < self.revision
         if not cached:
             if not version.complete and version.revision <= self.revision:
                 return None
             self.revision = version.revision
-        entries = tuple(self._entry(endpoint, older) for endpoint in version.entries)
+        entries = tuple(self._entry(endpoint, version.revision) for endpoint in version.entries)
         if version.complete:
-            self.present = set()
+            self._remove_unlisted(entries, version.revision)
         for entry in entries:
             if entry.state is EndpointState.GONE:
-                self.present.discard(entry.endpoint)
+                self.present.pop(entry.endpoint, None)
             else:
-                self.present.add(entry.endpoint)
+                self.present[entry.endpoint] = entry.started
         return EndpointListUpdate(entries, version.complete, cached)
 
     def forget(self, endpoint_id: int) -> None:
@@ -88,36 +103,59 @@
             return
         name = self.names.pop(endpoint_id)
         del self.ids[name]
-        self.departing.pop(name, None)
         self.addresses.pop(endpoint_id, None)
-
-    def _entry(self, endpoint: DiscoveredEndpoint, older: bool) -> EndpointEntry:
-        state = self._effective_state(endpoint, older)
+        departure = self.departures.pop(name, None)
+        if departure is not None:
+            self.forgotten_departures[name] = departure
+        if len(self.forgotten_departures) > MAX_FORGOTTEN_DEPARTURES:
+            del self.forgotten_departures[next(iter(self.forgotten_departures))]
+
+    def _remove_unlisted(self, entries: tuple[EndpointEntry, ...], revision: int) -> None:
+        """Record the departure of the present endpoints that a complete list does not contain."""
+        listed = {entry.endpoint for entry in entries}
+        for endpoint_id in self.present.keys() - listed:
+            self._record_departure(self.names[endpoint_id], revision)
+            del self.present[endpoint_id]
+
+    def _entry(self, endpoint: DiscoveredEndpoint, revision: int) -> EndpointEntry:
         endpoint_id = self._id_of(endpoint.name)
         self.addresses[endpoint_id] = endpoint.address
         return EndpointEntry(
             endpoint=endpoint_id,
             group=endpoint.group,
-            state=state,
+            state=self._effective_state(endpoint, revision),
             zone=endpoint.zone,
             primary=endpoint.primary,
             size=endpoint.size,
             started=endpoint.started_at,
         )
 
-    def _effective_state(self, endpoint: DiscoveredEndpoint, older: bool) -> EndpointState:
-        """Return the state to apply: a list with an older revision does not revoke a drain."""
+    def _effective_state(self, endpoint: DiscoveredEndpoint, revision: int) -> EndpointState:
+        """Return the state to apply: draining if it is up in a report that its departure may follow."""
         if endpoint.state is not EndpointState.UP:
-            self.departing[endpoint.name] = endpoint.started_at
+            self._record_departure(endpoint.name, revision, endpoint.started_at)
+            return endpoint.state
+        departure = self.departures.get(endpoint.name)
+        if departure is None:
             return endpoint.state
-        departed_start = self.departing.get(endpoint.name)
-        if older and departed_start is not None and endpoint.started_at <= departed_start:
+        if not departure.precedes(revision, endpoint):
             return EndpointState.DRAINING
-        self.departing.pop(endpoint.name, None)
+        del self.departures[endpoint.name]
         return endpoint.state
 
+    def _record_departure(self, name: str, revision: int, started_at: float = 0.0) -> None:
+        started_at = max(started_at, self.present.get(self.ids[name], 0.0))
+        known = self.departures.get(name)
+        if known is not None:
+            revision = max(revision, known.revision)
+            started_at = max(started_at, known.started_at)
+        self.departures[name] = Departure(revision, started_at)
+
     def _id_of(self, name: str) -> int:
-        """Return the id of a name: its CRC-32, or the next free integer if that is taken."""
+        """Return the id of a name: its CRC-32, or the next free integer if that is taken.
+
+        A departure that is remembered of the name counts again.
+        """
         endpoint_id = self.ids.get(name)
         if endpoint_id is None:
             endpoint_id = crc32(name.encode("utf-8", "replace"))
@@ -125,4 +163,6 @@
                 endpoint_id = (endpoint_id + 1) & MAX_ENDPOINT_ID
             self.ids[name] = endpoint_id
             self.names[endpoint_id] = name
+            if name in self.forgotten_departures:
+                self.departures[name] = self.forgotten_departures.pop(name)
         return endpoint_id
--- a/tests/test_list_versions.py
+++ b/tests/test_list_versions.py
@@ -45,7 +45,10 @@
         "a": EndpointState.DRAINING,
         "b": EndpointState.UP,
     }
-    assert applied_states(versions, 6, False, entry("a")) == {"a": EndpointState.UP}, "a change revokes it"
+    assert applied_states(versions, 6, False, entry("a")) == {"a": EndpointState.DRAINING}
+    assert applied_states(versions, 8, False, entry("a")) == {
+        "a": EndpointState.UP
+    }, "a newer change revokes it"
 
 
 def test_a_restarted_endpoint_is_up_even_in_an_older_list():
@@ -53,7 +56,7 @@
     versions.apply(version(7, True, entry("a", EndpointState.DRAINING)))
     restarted = DiscoveredEndpoint("a", ("127.0.0.1", 1), "a", 1, EndpointState.UP, 1.0, 5.0, False)
     assert applied_states(versions, 3, True, restarted) == {"a": EndpointState.UP}
-    assert not versions.departing
+    assert not versions.departures
 
 
 def test_a_newer_complete_list_revokes_a_drain():
