Changes that continue a newer list than the one held are not applied

What callers saw: endpoints that are up and listed got no request until discovery sent a complete list.

Cause: of several watches that wait for a slow discovery, one may be answered with an older complete list, which sets the revision held back. The changes of another, asked from the newer revision, were then applied on the older list, and the watch that would have sent those between was closed.

Change: a watch keeps the revision that its next changes continue; changes after a newer revision than the one held end it before it counts as heard.

--- a/sedgepitch/discovery/client.py
+++ b/sedgepitch/discovery/client.py
@@ -13,7 +13,7 @@
 from sedgepitch.core.types import Clock
 from sedgepitch.decisions.discovery.list_versions import Address, ListVersion
 from sedgepitch.decisions.discovery.watch_streams import NEVER, WatchStreams
-from sedgepitch.discovery.errors import MalformedListError
+from sedgepitch.discovery.errors import MalformedListError, MissedChangesError
 from sedgepitch.discovery.list_format import read_version
 from sedgepitch.discovery.watch_connection import WatchConnection
 from sedgepitch.net.twisted_types import Reactor
@@ -79,7 +79,7 @@
         self.streams.response_started(watch, self.clock.now())
 
     def object_received(self, watch: WatchConnection, data: bytes) -> None:
-        """Parse one object and forward its version. Raises MalformedListError."""
+        """Parse one object and forward its version. Raises MalformedListError and MissedChangesError."""
         if self.stopped or not self.streams.in_use(watch):
             return
         try:
@@ -87,6 +87,8 @@
         except (ValueError, RecursionError):
             raise MalformedListError("discovery: not JSON") from None
         version = read_version(raw, self.unix_offset)
+        self._check_sequence(watch, version)
+        watch.revision = version.revision
         self.heartbeat(watch)
         from_former_address = not self.streams.in_use(watch)  # beside a stream at the present one
         if from_former_address and version.revision <= self.held_revision():
@@ -95,6 +97,17 @@
             self.needs_complete_list = False
         self.on_version(version)
 
+    def _check_sequence(self, watch: WatchConnection, version: ListVersion) -> None:
+        """Raise MissedChangesError for changes after a newer revision than the one held.
+
+        A list from another watch may have set that one back.
+        """
+        held_revision = self.held_revision()
+        if not version.complete and watch.revision > held_revision:
+            raise MissedChangesError(
+                f"discovery: changes after {watch.revision} while {held_revision} is held"
+            )
+
     def heartbeat(self, watch: WatchConnection) -> None:
         """Record a heartbeat of a stream and close the streams that it replaces."""
         self._close(self.streams.heartbeat(watch, self.clock.now()))
--- a/sedgepitch/discovery/errors.py
+++ b/sedgepitch/discovery/errors.py
@@ -7,3 +7,7 @@
 
 class MalformedListError(DiscoveryError):
     """A source sent data that is not a valid endpoint list; the message names the position in the data."""
+
+
+class MissedChangesError(DiscoveryError):
+    """A watch sent the changes after a revision that is not held any more; those before them are missing."""
--- a/sedgepitch/discovery/watch_connection.py
+++ b/sedgepitch/discovery/watch_connection.py
@@ -9,7 +9,7 @@
 from twisted.python.failure import Failure
 
 from sedgepitch.decisions.discovery.list_versions import Address
-from sedgepitch.discovery.errors import MalformedListError
+from sedgepitch.discovery.errors import MalformedListError, MissedChangesError
 from sedgepitch.discovery.watch_exchange import (
     Heartbeat,
     ObjectReceived,
@@ -36,7 +36,10 @@
         """Handle the acceptance of the watch by discovery."""
 
     def object_received(self, watch: WatchConnection, data: bytes) -> None:
-        """Handle a complete object. Raises MalformedListError if it is not an endpoint list."""
+        """Handle a complete object.
+
+        Raises MalformedListError if it is not an endpoint list, MissedChangesError if it cannot be applied.
+        """
 
     def heartbeat(self, watch: WatchConnection) -> None:
         """Handle received data that leaves no object incomplete."""
@@ -60,7 +63,7 @@
     def __init__(self, observer: WatchObserver, address: Address, revision: int) -> None:
         self.observer = observer
         self.address = address
-        self.revision = revision  # changes after this revision are requested; 0 requests the complete list
+        self.revision = revision  # the next changes are those after it; 0 requests the complete list
         self.exchange = WatchExchange()
         self.object_began_at = 0.0  # monotonic seconds; set and read by the observer
         self.connector: Any = None
@@ -99,6 +102,8 @@
                     return
         except h11.RemoteProtocolError as error:
             self._lost(str(error)[:MAX_REASON_CHARS] or "discovery does not speak HTTP/1.1")
+        except MissedChangesError as error:
+            self._lost(str(error))
         except MalformedListError as error:
             self.observer.malformed()
             self._lost(str(error)[:MAX_REASON_CHARS])
--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Callable
 
 from twisted.internet import task
@@ -13,9 +14,10 @@
 from twisted.python.failure import Failure
 
 from sedgepitch.core.clock import FakeClock
-from sedgepitch.decisions.discovery.list_versions import Address, ListVersion
+from sedgepitch.decisions.discovery.list_versions import Address, EndpointListVersions, ListVersion
 from sedgepitch.discovery import watch_connection
 from sedgepitch.discovery.client import DiscoveryClient
+from sedgepitch.routing.messages import EndpointState
 
 HANGS = float("inf")
 HEARTBEAT_INTERVAL_S = 2.0
@@ -38,6 +40,7 @@
         self.number = len(source.calls)
         self.open = True
         self.silent = False  # nothing is sent any more
+        self.index = 0  # changes after this revision are requested
         self._sending_until = 0.0
 
     def set_no_delay(self) -> None:
@@ -45,6 +48,7 @@
 
     def write(self, data: bytes) -> None:
         """Take the request."""
+        self.index = int(re.search(rb"index=(\d+)", data)[1])
         self.source.serve(self)
 
     def abortConnection(self) -> None:
@@ -77,9 +81,9 @@
             self.protocol.connectionLost(Failure(ConnectionLost()))
 
     def answer(self) -> None:
-        """Send the complete list, then heartbeats."""
+        """Send the first object, then heartbeats."""
         if self.open:
-            self.send(HEAD + chunk(self.source.list_bytes()))
+            self.send(HEAD + chunk(self.source.first_object(self)))
             self.source.clock.callLater(HEARTBEAT_INTERVAL_S, self.heartbeat)
 
     def heartbeat(self) -> None:
@@ -114,6 +118,10 @@
         """Return the complete list; its only content is the revision."""
         return json.dumps({"revision": self.revision, "complete": True, "members": []}).encode() + b"\n"
 
+    def first_object(self, _call: EmulatedCall) -> bytes:
+        """Return the first object of an answer; subclasses may send older lists, or changes."""
+        return self.list_bytes()
+
     def serve(self, call: EmulatedCall) -> None:
         """Schedule the answer of a call."""
         delay_s = self.delay_s(call.number)
@@ -155,6 +163,8 @@
         self.clock = task.Clock()
         self.sources: dict[Address, EmulatedSource] = {}
         self.heard: list[tuple[float, int]] = []  # (time, revision) of each version
+        self.versions = EndpointListVersions()
+        self.states: dict[str, EndpointState] = {}  # of the endpoints in the list, by name
         self.lost: list[str] = []
         self.most_open = 0
         self.client: DiscoveryClient | None = None
@@ -173,7 +183,7 @@
             FakeClock(self.clock),
             address,
             0.0,
-            held_revision=lambda: max((revision for _, revision in self.heard), default=0),
+            held_revision=lambda: self.versions.revision,
             on_version=self._version,
             on_lost=self.lost.append,
         )
@@ -181,6 +191,11 @@
 
     def _version(self, version: ListVersion) -> None:
         self.heard.append((self.clock.seconds(), version.revision))
+        update = self.versions.apply(version)
+        if update is None:
+            return
+        listed = {self.versions.names[entry.endpoint]: entry.state for entry in update.entries}
+        self.states = listed if update.complete else self.states | listed
 
     def _connect(self, reactor, host, port, factory, timeout_s) -> EmulatedCall:
         source = self.sources[host, port]
