A discovery that counts its revisions anew is asked for the complete list

What callers saw: requests to endpoints that drain, after discovery lost its state or SIGHUP led to one that lags behind, until its revisions had passed the one held.

Cause: changes with a revision below the one held are ignored as applied before. A source that has not reached the revision that its watch was asked from may send its changes so, and no complete list.

Change: a change older than what its own watch was asked from, or sent before, ends the watch like a malformed object, and the next one asks for the complete list.

Evidence: tests/test_watch_sequence.py, virtual time with the real client; the cases with a first object and after an empty line failed on (no further call in 30 s, the endpoint stayed up), and pass now; with tests/test_older_lists.py, test_slow_discovery.py and test_node*.py 170 tests passed.

--- a/sedgepitch/discovery/client.py
+++ b/sedgepitch/discovery/client.py
@@ -98,12 +98,18 @@
         self.on_version(version)
 
     def _check_sequence(self, watch: WatchConnection, version: ListVersion) -> None:
-        """Raise MissedChangesError for changes after a newer revision than the one held.
+        """Raise an error for changes that do not continue the list held or what their watch sent before.
 
-        A list from another watch may have set that one back.
+        MissedChangesError if they follow a newer revision than the one held, since a list from another watch
+        set that one back. MalformedListError if they are older than what they should follow, since the source
+        counts its revisions anew.
         """
+        if version.complete:
+            return
+        if version.revision < watch.revision:
+            raise MalformedListError(f"discovery: revision {version.revision} after {watch.revision}")
         held_revision = self.held_revision()
-        if not version.complete and watch.revision > held_revision:
+        if watch.revision > held_revision:
             raise MissedChangesError(
                 f"discovery: changes after {watch.revision} while {held_revision} is held"
             )
@@ -122,7 +128,7 @@
         self.streams.partial_object(watch, watch.object_began_at, now)
 
     def malformed(self) -> None:
-        """Request the complete list with the next watch, since a change may have been missed."""
+        """Request the complete list with the next watch, since changes may have been missed."""
         self.needs_complete_list = True
 
     def lost(self, watch: WatchConnection, reason: str) -> None:
--- a/sedgepitch/discovery/watch_connection.py
+++ b/sedgepitch/discovery/watch_connection.py
@@ -38,7 +38,8 @@
     def object_received(self, watch: WatchConnection, data: bytes) -> None:
         """Handle a complete object.
 
-        Raises MalformedListError if it is not an endpoint list, MissedChangesError if it cannot be applied.
+        Raises MalformedListError if it is not a version of the endpoint list that can follow the ones before,
+        MissedChangesError if it cannot be applied to the list held.
         """
 
     def heartbeat(self, watch: WatchConnection) -> None:
@@ -48,7 +49,7 @@
         """Handle part of an object that began in this data (`begun`) or earlier."""
 
     def malformed(self) -> None:
-        """Handle data that is not an endpoint list; a change may have been lost with it."""
+        """Handle data that is not a version of the endpoint list that can follow the ones before."""
 
     def lost(self, watch: WatchConnection, reason: str) -> None:
         """Handle the end of the watch, unless `close` caused it."""
--- a/tests/test_watch_sequence.py
+++ b/tests/test_watch_sequence.py
@@ -59,3 +59,44 @@
     discovery.run_until(SILENCE_AT_S + 2 * QUIET_S)
     assert discovery.states == {"a": UP, "b": DRAINING, "c": UP}
     assert source.open_calls == 1
+
+
+# Guards against a drain that is not known, since a source that lost its state counts its revisions anew.
+@pytest.mark.parametrize("heartbeat_first", [False, True])
+def test_a_change_with_a_revision_below_the_requested_one_leads_to_the_complete_list(
+    monkeypatch, heartbeat_first
+):
+    discovery = SlowDiscovery(monkeypatch)
+    anew = version_bytes(3, False, b="draining")
+    source = ScriptedSource(
+        discovery.clock,
+        [
+            (0.0, version_bytes(9, True, a="up", b="up")),
+            (0.0, b"\n" if heartbeat_first else anew),
+            (0.0, version_bytes(3, True, a="up", b="draining")),
+        ],
+    )
+    discovery.start(discovery.add("source", source))
+    discovery.run_until(SILENCE_AT_S)
+    source.reset_all()
+    discovery.run_until(SILENCE_AT_S + 0.1)
+    if heartbeat_first:
+        source.calls[1].send(chunk(anew))
+    discovery.run_until(SILENCE_AT_S + QUIET_S)
+    assert [call.index for call in source.calls] == [0, 9, 0]
+    assert discovery.states == {"a": UP, "b": DRAINING}
+    assert source.open_calls == 1
+
+
+# Guards against a watch that is replaced since its first object repeats the revision that was asked for.
+def test_a_version_with_the_requested_revision_is_no_reason_to_ask_again(monkeypatch):
+    discovery = SlowDiscovery(monkeypatch)
+    source = ScriptedSource(
+        discovery.clock,
+        [(0.0, version_bytes(9, True, a="up")), (0.0, version_bytes(9, False))],
+    )
+    discovery.start(discovery.add("source", source))
+    discovery.run_until(SILENCE_AT_S)
+    source.reset_all()
+    discovery.run_until(SILENCE_AT_S + QUIET_S)
+    assert len(source.calls) == 2 and source.open_calls == 1
