Discoveries that lag, lose their state, hang, reset and move, in random order

Guards against endpoints that are up though the newest report on them is a drain, and against a list that stays wrong after the troubles are over. The real client and its watches, in virtual time.

--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -168,6 +168,7 @@
         self.lost: list[str] = []
         self.most_open = 0
         self.client: DiscoveryClient | None = None
+        self.on_applied: Callable[[ListVersion], None] = lambda version: None
         monkeypatch.setattr(watch_connection, "connect", self._connect)
 
     def add(self, name: str, source: EmulatedSource) -> Address:
@@ -196,6 +197,7 @@
             return
         listed = {self.versions.names[entry.endpoint]: entry.state for entry in update.entries}
         self.states = listed if update.complete else self.states | listed
+        self.on_applied(version)
 
     def _connect(self, reactor, host, port, factory, timeout_s) -> EmulatedCall:
         source = self.sources[host, port]
