Tests and a benchmark reserve their ports

Four places picked a free port from the range that the system chooses from and released it before the listener used it, so that another process could be given it meanwhile. They use PortReservations, which moved out of the soak, since it is not the only user any more.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -8,16 +8,16 @@
 from __future__ import annotations
 
 import argparse
-import socket
 import tempfile
 import time
-from contextlib import ExitStack
+from contextlib import ExitStack, closing
 from dataclasses import dataclass
 from pathlib import Path
 
 from sedgepitch.peers.keys import new_key_file
 from sedgepitch.scenarios.network_links import Link
 from sedgepitch.scenarios.peer_processes import PeerProcess, processor_time, wait_until
+from sedgepitch.scenarios.port_reservations import PortReservations
 
 TIMEOUT_S = 240.0
 SECONDS_PER_HOUR = 3600.0
@@ -43,19 +43,11 @@
     costs: Costs
 
 
-def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free now."""
-    with ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for bound in sockets:
-            bound.bind(("127.0.0.1", 0))
-        return [bound.getsockname()[1] for bound in sockets]
-
-
 def measure(count: int, loss: float, calm: float, seed: int) -> Measurement:
     """Run one cluster: wait until all peers see all alive, measure `calm` seconds, then kill one peer."""
     with tempfile.TemporaryDirectory() as folder, ExitStack() as stack:
-        addresses = [f"127.0.0.1:{port}" for port in free_ports(count)]
+        ports = stack.enter_context(closing(PortReservations()))
+        addresses = [f"127.0.0.1:{ports.reserve()}" for _ in range(count)]
         relays = [Link(address, seed + number) for number, address in enumerate(addresses)]
         peers = start_peers(Path(folder) / "key", addresses, relays, stack)
         for relay in relays:
--- a/sedgepitch/scenarios/soak/emulated_platform.py
+++ b/sedgepitch/scenarios/soak/emulated_platform.py
@@ -10,7 +10,7 @@
 
 from sedgepitch.emulator.discovery_agent import AgentMode, DiscoveryAgent, ListVersion
 from sedgepitch.emulator.postgresql_server import GROUP, PROXY, PostgresServer, ReplicatedLog
-from sedgepitch.scenarios.soak.port_reservations import PortReservations
+from sedgepitch.scenarios.port_reservations import PortReservations
 from sedgepitch.scenarios.soak.script import SERVERS, Action, Step
 
 LIST_BURST_VERSIONS = 20
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -14,11 +14,11 @@
 from typing import Any
 
 from sedgepitch.audit.records import Record
+from sedgepitch.scenarios.port_reservations import PortReservations
 from sedgepitch.scenarios.soak.clients import SharedState, SoakClient
 from sedgepitch.scenarios.soak.crowd import CONNECT_SPREAD_S, Crowd
 from sedgepitch.scenarios.soak.emulated_platform import EmulatedPlatform
 from sedgepitch.scenarios.soak.misbehaving_clients import CrowdKind
-from sedgepitch.scenarios.soak.port_reservations import PortReservations
 from sedgepitch.scenarios.soak.proxy_processes import ProxyProcess, ProxyProcesses
 from sedgepitch.scenarios.soak.script import Action, SoakScript, Step
 from sedgepitch.scenarios.soak.traffic import platform_settings
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import contextlib
 from importlib.resources import files
 
 import pytest
 import yaml
 from hypothesis import settings
 
+from sedgepitch.scenarios.port_reservations import PortReservations
 from sedgepitch.scenarios.processes import stage
 from tests.support.platform import running_platform
 
@@ -50,3 +52,10 @@
     """One proxy process on an emulated platform, with its endpoint list received."""
     with running_platform(tmp_path) as running:
         yield running
+
+
+@pytest.fixture
+def ports():
+    """Ports for listeners of one test that no other process is given."""
+    with contextlib.closing(PortReservations()) as reservations:
+        yield reservations
--- a/tests/test_operator_commands.py
+++ b/tests/test_operator_commands.py
@@ -20,9 +20,9 @@
 
 
 @pytest.fixture
-def fleet(tmp_path):
+def fleet(tmp_path, ports):
     """Three gossiping instances with zone failover, and the status address of each."""
-    with gossiping_instances(tmp_path, zones={}, driver={"zone": "north"}) as (instances, addresses):
+    with gossiping_instances(tmp_path, ports, zones={}, driver={"zone": "north"}) as (instances, addresses):
         wait_until(lambda: all(len(zone_status(a)["drivers"]) == 3 for a in addresses.values()))
         yield instances, addresses
 
--- a/tests/test_peers_serve.py
+++ b/tests/test_peers_serve.py
@@ -4,7 +4,6 @@
 
 import json
 import re
-import socket
 import subprocess
 import sys
 import urllib.request
@@ -20,21 +19,15 @@
 from tests.support.platform import ROOT
 
 
-def free_port() -> int:
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
-
-
 @contextmanager
-def gossiping_instances(tmp_path, **parts):
+def gossiping_instances(tmp_path, ports, **parts):
     """Start three instances with one emulated fleet; yields the stage and the metrics addresses by name."""
     new_key_file(tmp_path / "key")
     status_addresses = {}
     seeds = []
     with stage(example(), tmp_path) as instances:
         for name in ("n0", "n1", "n2"):
-            metrics = f"127.0.0.1:{free_port()}"
+            metrics = f"127.0.0.1:{ports.reserve()}"
             instances.settings["metrics"] = metrics
             peers = {"listen": "127.0.0.1:0", "key_file": str(tmp_path / "key"), "seeds": list(seeds)}
             instances.driver(name, peers=peers, **parts)
@@ -47,9 +40,9 @@
 
 
 @pytest.fixture
-def gossiping(tmp_path):
+def gossiping(tmp_path, ports):
     """Three gossiping instances, and their metrics addresses by name."""
-    with gossiping_instances(tmp_path) as started:
+    with gossiping_instances(tmp_path, ports) as started:
         yield started
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,9 +15,9 @@
 
 import pytest
 
+from sedgepitch.scenarios import port_reservations
 from sedgepitch.scenarios.errors import ScenarioError
-from sedgepitch.scenarios.soak import port_reservations
-from sedgepitch.scenarios.soak.port_reservations import PortReservations
+from sedgepitch.scenarios.port_reservations import PortReservations
 from sedgepitch.scenarios.soak.runner import SoakRun
 from sedgepitch.scenarios.soak.script import Action, FileState, Reload, SoakScript, Step, draw_script
 from tests.support.faulty_nodes import FAULTS
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -242,12 +242,10 @@
         assert rough.drivers["one"].process.wait(timeout=TIMEOUT_S) == 0
 
 
-def test_workers_share_the_port_and_a_killed_worker_is_restarted(rough, tmp_path):
+def test_workers_share_the_port_and_a_killed_worker_is_restarted(rough, tmp_path, ports):
     rough.driver("alone")
     settings = dict(rough.driver_settings["alone"])
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
+    port = ports.reserve()
     settings["listen"] = f"127.0.0.1:{port}"
     path = tmp_path / "workers.yaml"
     path.write_text(yaml.safe_dump(settings))
@@ -266,10 +264,8 @@
         assert workers.stop() == 0
 
 
-def test_metrics_count_served_requests(rough):
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        port = free.getsockname()[1]
+def test_metrics_count_served_requests(rough, ports):
+    port = ports.reserve()
     rough.driver_settings.clear()
     rough.settings["metrics"] = f"127.0.0.1:{port}"
     rough.driver("measured")
