The soak plays a discovery that begins its answers late

On one seed in four the answers now begin after 2.5 s for most of the run, beside restarts, SIGHUPs, drains and outages; changes count as notified as without it.

--- a/sedgepitch/emulator/discovery_agent.py
+++ b/sedgepitch/emulator/discovery_agent.py
@@ -11,6 +11,7 @@
 
 HEARTBEAT_INTERVAL_S = 2.0
 SLOW_BYTE_INTERVAL_S = 0.002
+LATE_ANSWER_S = 2.5
 NO_CHUNK = b""
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\n"
 WATCH_HEAD = RESPONSE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -25,6 +26,10 @@
     SILENT = "silent"  # accepts connections and sends nothing
     REFUSED = "refused"  # does not listen
     SLOW = "slow"  # sends one byte every SLOW_BYTE_INTERVAL_S
+    LATE = "late"  # begins an answer LATE_ANSWER_S after the call, and serves it as usual from then on
+
+
+SERVING_MODES = (AgentMode.NORMAL, AgentMode.LATE)  # those in which watches get changes and heartbeats
 
 
 def _chunk(data: bytes) -> bytes:
@@ -84,7 +89,7 @@
         self._send_line(json.dumps(version).encode() + b"\n")
 
     def _send_line(self, line: bytes) -> None:
-        if self.mode is not AgentMode.NORMAL:
+        if self.mode not in SERVING_MODES:
             return
         for writer in list(self._watches):
             writer.write(_chunk(line))
@@ -99,6 +104,8 @@
             target = (await reader.readline()).decode(errors="replace")
             while (await reader.readline()).strip():
                 pass
+            if self.mode is AgentMode.LATE:
+                await asyncio.sleep(LATE_ANSWER_S)
             body = json.dumps(self._complete_list()).encode() + b"\n"
             if "stream=1" in target:
                 await self._watch(reader, writer, body)
--- a/sedgepitch/scenarios/soak/emulated_platform.py
+++ b/sedgepitch/scenarios/soak/emulated_platform.py
@@ -117,7 +117,10 @@
             Action.LIST_BURST: self._burst,
         }
         if step.action in AGENT_MODES:
-            await self._discovery_outage(AGENT_MODES[step.action], step.duration)
+            self.delay_notifications(step.duration)
+            await self._set_agent_mode(AGENT_MODES[step.action], step.duration)
+        elif step.action is Action.DISCOVERY_LATE:
+            await self._set_agent_mode(AgentMode.LATE, step.duration)
         else:
             await handlers[step.action]()
 
@@ -159,8 +162,7 @@
             for server in self.servers:
                 self._publish(server)
 
-    async def _discovery_outage(self, mode: AgentMode, duration: float) -> None:
-        self.delay_notifications(duration)
+    async def _set_agent_mode(self, mode: AgentMode, duration: float) -> None:
         for agent in self.agents:
             await agent.set_mode(mode)
         await asyncio.sleep(duration)
--- a/sedgepitch/scenarios/soak/runner.py
+++ b/sedgepitch/scenarios/soak/runner.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 from sedgepitch.audit.records import Record
+from sedgepitch.emulator.discovery_agent import SERVING_MODES
 from sedgepitch.scenarios.port_reservations import PortReservations
 from sedgepitch.scenarios.soak.clients import SharedState, SoakClient
 from sedgepitch.scenarios.soak.crowd import CONNECT_SPREAD_S, Crowd
@@ -183,7 +184,7 @@
         await asyncio.sleep(RELOADED_WITHIN_S)
         agent = self._platform.agents[self._platform.agent_index]
         undisturbed = moves == self._moves and proxy is self._processes.current and not proxy.terminated_at
-        if undisturbed and agent.mode == "normal" and not agent.watch_count:
+        if undisturbed and agent.mode in SERVING_MODES and not agent.watch_count:
             self._processes.findings.append(
                 f"process {proxy.number} has no watch at its new discovery agent; after {step.describe()}"
             )
--- a/sedgepitch/scenarios/soak/script.py
+++ b/sedgepitch/scenarios/soak/script.py
@@ -20,6 +20,7 @@
 FAULTS_BY_RESTART = (2, 4)
 CROWD_EVERY = 3  # one seed in three has a crowd
 BUSY_EVERY = 4  # one seed in four runs beside busy processes
+LATE_DISCOVERY_EVERY = 4  # one seed in four has a discovery that answers late most of the time
 BUSY_PROCESSES = 6
 SIGNAL_GAP_S = (0.01, 0.2)
 SIGNALS_IN_SERIES = (2, 6)
@@ -29,6 +30,8 @@
 HANG_S = (0.5, 5.0)
 OUTAGE_S = (1.0, 4.0)
 DRAIN_S = (2.0, 6.0)
+LATE_DISCOVERY_S = (10.0, 20.0)
+LATE_DISCOVERY_GAP_S = (1.0, 4.0)  # between two such times
 CROWD_S = (2.0, 4.0)
 MISBEHAVING_CROWDS = 2  # of the runs that have a crowd, beside the mixed ones
 
@@ -48,6 +51,7 @@
     DISCOVERY_SILENT = "discovery_silent"
     DISCOVERY_REFUSED = "discovery_refused"
     DISCOVERY_SLOW = "discovery_slow"
+    DISCOVERY_LATE = "discovery_late"  # answers begin late; no outage: changes count as notified as usual
     LIST_BURST = "list_burst"
     CROWD = "crowd"
 
@@ -171,6 +175,8 @@
         crowd_rng = random.Random(f"soak crowd/{seed}")  # its own, so that older seeds keep their steps
         limits = crowd_rng.choice(CROWD_LIMITS)
         steps += _misbehaving_crowds(crowd_rng, length)
+    if seed % LATE_DISCOVERY_EVERY == 1:
+        steps += _late_discovery(random.Random(f"soak late discovery/{seed}"), length)
     steps = [step for step in steps if 0.0 <= step.at < length - LAST_STEP_BEFORE_END_S]
     steps.sort(key=lambda step: step.at)
     busy = BUSY_PROCESSES if seed % BUSY_EVERY == 0 else 0
@@ -227,6 +233,16 @@
     return Step(at, Action.RELOAD_SERIES, reloads=tuple(reloads))
 
 
+def _late_discovery(rng: random.Random, length: float) -> list[Step]:
+    steps = []
+    at = rng.uniform(*LATE_DISCOVERY_GAP_S)
+    while at < length:
+        duration = rng.uniform(*LATE_DISCOVERY_S)
+        steps.append(Step(at, Action.DISCOVERY_LATE, duration=duration))
+        at += duration + rng.uniform(*LATE_DISCOVERY_GAP_S)
+    return steps
+
+
 def _misbehaving_crowds(rng: random.Random, length: float) -> list[Step]:
     kinds = rng.sample(MISBEHAVING, MISBEHAVING_CROWDS)
     return [
--- a/tests/support/faulty_nodes.py
+++ b/tests/support/faulty_nodes.py
@@ -14,6 +14,7 @@
 
 from sedgepitch.core.engine import Engine  # noqa: E402
 from sedgepitch.decisions.connections.shutdown_schedule import ShutdownSchedule  # noqa: E402
+from sedgepitch.decisions.discovery.watch_streams import WatchStreams  # noqa: E402
 from sedgepitch.node import __main__ as node  # noqa: E402
 from sedgepitch.node.signal_actions import SignalActions  # noqa: E402
 from sedgepitch.protocols.postgresql.client_listener import ClientListener  # noqa: E402
@@ -47,10 +48,22 @@
     SignalActions.handle = handle_first
 
 
+def give_up_late_answers() -> None:
+    """Close the calls to discovery that wait for an answer whenever another is made, after a second."""
+    opened = WatchStreams.opened
+
+    def opened_alone(self: WatchStreams, key: object, now: float) -> list[object]:
+        closed = opened(self, key, now)
+        return closed + self._remove([other for other in self.candidates if other is not key])
+
+    WatchStreams.opened = opened_alone
+
+
 FAULTS = {
     "close_held_connections": close_held_connections,
     "forward_until_the_exit": forward_until_the_exit,
     "lose_the_second_reload": lose_the_second_reload,
+    "give_up_late_answers": give_up_late_answers,
 }
 
 if __name__ == "__main__":
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -27,12 +27,16 @@
 CROWD_SEED, SIGNALS_SEED, KILL_SEED = 3, 7, 10
 HANG_THROUGH_SHUTDOWN = tuple(Step(3.5, Action.HANG, server, 6.0) for server in range(1, 5))
 RESTART = Step(4.0, Action.RESTART)
+ONE_RELOAD = Step(2.0, Action.RELOAD_SERIES, reloads=(Reload(0.1, FileState.COMPLETE),))
 TWO_RELOADS = Step(2.0, Action.RELOAD_SERIES, reloads=(Reload(0.1, FileState.COMPLETE),) * 2)
+LATE_DISCOVERY = Step(1.0, Action.DISCOVERY_LATE, duration=10.0)
+DRAIN = Step(7.0, Action.DRAIN, 2, 3.0)
 HANG_AT_SIGTERM = tuple(Step(3.5, Action.HANG, server, 1.0) for server in range(1, 5))
 FAULT_SCRIPTS = {
     "close_held_connections": (*HANG_AT_SIGTERM, RESTART),
     "forward_until_the_exit": (*HANG_THROUGH_SHUTDOWN, RESTART),
     "lose_the_second_reload": (TWO_RELOADS,),
+    "give_up_late_answers": (LATE_DISCOVERY, ONE_RELOAD),
 }
 
 
@@ -49,6 +53,8 @@
     for name, steps in FAULT_SCRIPTS.items():
         scripts[name] = SoakScript(1, 12.0, 2.0, False, 0, steps)
     scripts["no fault"] = SoakScript(1, 12.0, 2.0, False, 0, (TWO_RELOADS, *HANG_THROUGH_SHUTDOWN, RESTART))
+    late_discovery = (LATE_DISCOVERY, ONE_RELOAD, RESTART, DRAIN)
+    scripts["late discovery"] = SoakScript(1, 14.0, 2.0, False, 0, late_discovery)
     with ProcessPoolExecutor(4) as pool:
         futures = {
             name: pool.submit(
@@ -83,6 +89,7 @@
         ("close_held_connections", "connection closed without an answer"),
         ("forward_until_the_exit", "connection closed without an answer"),
         ("lose_the_second_reload", "no watch at its new discovery agent"),
+        ("give_up_late_answers", "no watch at its new discovery agent"),
     ],
 )
 def test_a_faulty_program_is_detected(results, fault, text):
@@ -96,6 +103,11 @@
     assert results["no fault"]["passed"], violations_of(results["no fault"])
 
 
+# Guards against a discovery that answers late and is never heard, after a SIGHUP and a restart (review/10).
+def test_the_program_passes_a_script_with_a_late_discovery(results):
+    assert results["late discovery"]["passed"], violations_of(results["late discovery"])
+
+
 def test_a_violation_names_the_step_before_it(results):
     assert any("after restart at 4.00 s" in text for text in violations_of(results["close_held_connections"]))
 
