--- a/tests/test_discovery_histories.py
+++ b/tests/test_discovery_histories.py
@@ -63,7 +63,12 @@
     """A discovery that knows a registry as of the last time that it caught up with it."""
 
     def __init__(self, clock, registry: Registry, draw: random.Random) -> None:
-        super().__init__(clock)
+        super().__init__(
+            clock,
+            one_by_one=draw.random() < 0.4,
+            byte_interval_s=draw.choice((0.0, 0.0, 0.001)),
+            connect_delay_s=draw.choice((0.0, 0.0, 1.5)),
+        )
         self.registry = registry
         self.draw = draw
         self.epoch = 0
@@ -193,9 +198,10 @@
         self.discovery.run_until(self.discovery.clock.seconds() + duration_s)
 
     def recover(self) -> None:
-        """Let the present replica work again."""
+        """Let the present replica work again; calls that it served one by one do not keep it any longer."""
         self.present.refused = False
         self.present.delay_s = lambda number: 0.0
+        self.present.free_at = self.discovery.clock.seconds()
         self.present.catch_up()
         self.present.reset_all()
         self.run(SETTLED_WITHIN_S)
