--- a/tests/test_discovery_histories.py
+++ b/tests/test_discovery_histories.py
@@ -94,10 +94,10 @@
             self.reset_all()
         self.known[self.registry.revision] = dict(self.registry.phases)
         for call in self.calls:
-            if call.open and not call.silent and call.number in self.positions:
-                if self.positions[call.number] < self.present:
-                    call.send(chunk(self.object_after(self.positions[call.number])))
-                    self.positions[call.number] = self.present
+            position = self.positions.get(call.number, self.present)
+            if call.open and not call.silent and position < self.present:
+                call.send(chunk(self.object_after(position)))
+                self.positions[call.number] = self.present
 
     def object_after(self, index: int) -> bytes:
         """Return the changes after a revision, or the complete list if it is not known."""
@@ -134,10 +134,6 @@
             self.positions[call.number] = self.present
         return first
 
-    def serves(self, call: EmulatedCall) -> bool:
-        """Return whether a call was answered."""
-        return call.number in self.positions and call.number not in self.computed
-
 
 class Series:
     """One series of troubles, and the return to a discovery that works."""
--- a/tests/test_older_lists.py
+++ b/tests/test_older_lists.py
@@ -39,7 +39,7 @@
 
 
 class RouterView:
-    """The states that the router has been told, by endpoint name."""
+    """The states that the router was notified of, by endpoint name."""
 
     def __init__(self) -> None:
         self.versions = EndpointListVersions()
