--- a/sedgepitch/emulator/discovery_agent.py
+++ b/sedgepitch/emulator/discovery_agent.py
@@ -61,13 +61,13 @@
             self._heartbeats = asyncio.create_task(self._send_heartbeats())
 
     async def set_mode(self, mode: AgentMode) -> None:
-        """Change the mode; returning to normal sends the complete list to all open watches."""
+        """Change the mode; a return to a serving one sends the complete list to all open watches."""
         previous, self.mode = self.mode, mode
         if mode is AgentMode.REFUSED:
             self.close_port()
         elif previous is AgentMode.REFUSED:
             await self.start()
-        if mode is AgentMode.NORMAL and previous is not AgentMode.NORMAL:
+        if mode in SERVING_MODES and previous not in SERVING_MODES:
             self.send(self._complete_list())
 
     def close_port(self) -> None:
--- a/tests/support/slow_discovery.py
+++ b/tests/support/slow_discovery.py
@@ -31,6 +31,12 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
+def version_bytes(revision: int, complete: bool, **phases: str) -> bytes:
+    """Return one list version as discovery sends it, with the phase of each endpoint that it names."""
+    members = [{"id": name, "host_port": "10.0.0.1:1", "phase": phase} for name, phase in phases.items()]
+    return json.dumps({"revision": revision, "complete": complete, "members": members}).encode() + b"\n"
+
+
 class EmulatedCall:
     """One connection to a source; also the transport and the connector of the client's side."""
 
@@ -116,7 +122,7 @@
 
     def list_bytes(self) -> bytes:
         """Return the complete list; its only content is the revision."""
-        return json.dumps({"revision": self.revision, "complete": True, "members": []}).encode() + b"\n"
+        return version_bytes(self.revision, True)
 
     def first_object(self, _call: EmulatedCall) -> bytes:
         """Return the first object of an answer; subclasses may send older lists, or changes."""
--- a/tests/test_discovery_histories.py
+++ b/tests/test_discovery_histories.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import json
 import random
 from dataclasses import dataclass, field
 
@@ -15,7 +14,14 @@
 from sedgepitch.decisions.discovery.list_versions import ListVersion
 from sedgepitch.routing.messages import EndpointState
 from tests.support.newest_reports import NewestReports
-from tests.support.slow_discovery import HANGS, EmulatedCall, EmulatedSource, SlowDiscovery, chunk
+from tests.support.slow_discovery import (
+    HANGS,
+    EmulatedCall,
+    EmulatedSource,
+    SlowDiscovery,
+    chunk,
+    version_bytes,
+)
 
 NAMES = ("a", "b", "c", "d")
 PHASES = ("up", "draining", "removed")
@@ -108,10 +114,7 @@
             named = {name: phase for name, phase in phases.items() if phase != "removed"}
         else:
             named = {name: phase for name, phase in phases.items() if phase != before[name]}
-        members = [{"id": name, "host_port": "10.0.0.1:1", "phase": phase} for name, phase in named.items()]
-        return (
-            json.dumps({"revision": self.present, "complete": complete, "members": members}).encode() + b"\n"
-        )
+        return version_bytes(self.present, complete, **named)
 
     def serve(self, call: EmulatedCall) -> None:
         """Compute the answer now if this replica does so, and schedule it."""
--- a/tests/test_older_lists.py
+++ b/tests/test_older_lists.py
@@ -169,7 +169,7 @@
 )
 
 
-class EmulatedSource:
+class ListHistory:
     """All versions of a source's list, from the present one back to those before it lost its state."""
 
     def __init__(self) -> None:
@@ -234,7 +234,7 @@
     ]
 )
 def test_no_endpoint_whose_newest_report_is_a_departure_is_up(steps):
-    source, view, newest = EmulatedSource(), RouterView(), NewestReports()
+    source, view, newest = ListHistory(), RouterView(), NewestReports()
     held: ListVersion | None = None
 
     def receive(version: ListVersion, list_after_it: ListVersion) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 import subprocess
@@ -15,6 +16,7 @@
 
 import pytest
 
+from sedgepitch.emulator.discovery_agent import SERVING_MODES, AgentMode, DiscoveryAgent
 from sedgepitch.scenarios import port_reservations
 from sedgepitch.scenarios.errors import ScenarioError
 from sedgepitch.scenarios.port_reservations import PortReservations
@@ -112,6 +114,27 @@
     assert any("after restart at 4.00 s" in text for text in violations_of(results["close_held_connections"]))
 
 
+# Guards against a soak that blames the proxy for a change that the emulated discovery did not send it.
+@pytest.mark.parametrize("mode", SERVING_MODES)
+def test_a_watch_gets_what_changed_during_an_outage_in_each_mode_that_serves(mode):
+    async def changed_during_an_outage() -> bytes:
+        agent = DiscoveryAgent(lambda: {"revision": 7})
+        await agent.start()
+        reader, writer = await asyncio.open_connection("127.0.0.1", agent.port)
+        writer.write(b"GET /catalog/members?stream=1&index=0 HTTP/1.1\r\n\r\n")
+        await reader.readuntil(b"}\n\r\n")
+        while not agent.watch_count:
+            await asyncio.sleep(0.01)
+        await agent.set_mode(AgentMode.SILENT)
+        await agent.set_mode(mode)
+        received = await asyncio.wait_for(reader.readuntil(b"}\n\r\n"), 1.0)
+        writer.close()
+        agent.stop()
+        return received
+
+    assert b'"revision": 7' in asyncio.run(changed_during_an_outage())
+
+
 # The script
 
 
--- a/tests/test_watch_sequence.py
+++ b/tests/test_watch_sequence.py
@@ -6,24 +6,16 @@
 
 from __future__ import annotations
 
-import json
-
 import pytest
 
 from sedgepitch.routing.messages import EndpointState
-from tests.support.slow_discovery import EmulatedCall, EmulatedSource, SlowDiscovery, chunk
+from tests.support.slow_discovery import EmulatedCall, EmulatedSource, SlowDiscovery, chunk, version_bytes
 
 UP, DRAINING = EndpointState.UP, EndpointState.DRAINING
 SILENCE_AT_S = 60.0
 QUIET_S = 30.0
 
 
-def version_bytes(revision: int, complete: bool, **phases: str) -> bytes:
-    """Return one list version as discovery sends it."""
-    members = [{"id": name, "host_port": "10.0.0.1:1", "phase": phase} for name, phase in phases.items()]
-    return json.dumps({"revision": revision, "complete": complete, "members": members}).encode() + b"\n"
-
-
 class ScriptedSource(EmulatedSource):
     """A source with a given delay and first object for each call."""
 
